--- /dev/null
+++ b/src/legal.rs
@@ -0,0 +1,34 @@
+//! Which settings can be served at all.
+
+use crate::interface::*;
+
+/// An error that names the first value that cannot be served.
+pub fn check(s: &Settings) -> Result<(), String> {
+    let fine = |x: f64| x.is_finite() && x >= 0.0;
+    let class_ok = |c: &Class| c.aim_ms > 0.0 && fine(c.aim_ms) && fine(c.window_ms) && fine(c.late_worth);
+    let plan_ok =
+        |p: &Plan| [p.rate, p.burst, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack].into_iter().all(fine);
+    let tests = [
+        ((1..=65_535).contains(&s.limiters), "limiters must be 1 to 65535".to_string()),
+        (s.position < s.limiters, format!("position {} is not below limiters {}", s.position, s.limiters)),
+        (s.max_attempts > 0, "max_attempts must be 1 or more".to_string()),
+        (fine(s.round_ms), format!("round_ms {} is not a time", s.round_ms)),
+        (fine(s.cold_ms) && fine(s.fall_ms), "cold_ms or fall_ms is not a time".to_string()),
+        (fine(s.cold_share) && s.cold_share <= 1.0, format!("cold_share {} is not a share", s.cold_share)),
+        (fine(s.fall_multiple), format!("fall_multiple {} is not a number from 0", s.fall_multiple)),
+        (fine(s.messages_per_s), format!("messages_per_s {} is not a rate", s.messages_per_s)),
+    ];
+    if s.plans.len() > 255 {
+        return Err("plans must be 255 at most".to_string());
+    }
+    if let Some((_, why)) = tests.into_iter().find(|t| !t.0) {
+        return Err(why);
+    }
+    if let Some(i) = s.classes.iter().position(|c| !class_ok(c)) {
+        return Err(format!("class {i} has an aim, window or late worth that cannot be served"));
+    }
+    if let Some(i) = s.plans.iter().position(|p| !plan_ok(p)) {
+        return Err(format!("plan {i} has a negative or endless figure"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,50 @@
+//! The decisions of a gateway that holds customers to quotas before a shared back end.
+//!
+//! [`interface`] holds the settings, events and actions; [`policy::Limiter`] turns events into actions.
+//! There is no clock, thread, network or shared state inside: the caller brings the time with each event.
+//!
+//! ```
+//! use fawnhill::*;
+//!
+//! let look = Class {
+//!     aim_ms: 1000.0, late_worth: 0.0, effect: Effect::Safe, group: KeyGroup::All, window_ms: 0.0,
+//! };
+//! let basic = Plan {
+//!     rate: 4.0, burst: 8.0, open: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0,
+//! };
+//! let settings = Settings {
+//!     limiters: 1, position: 0, zone: 0, classes: vec![look], plans: vec![basic], round_ms: 1.0,
+//!     max_attempts: 3, connect_timeout_ms: 250.0, may_probe: false, may_tell: false, may_cancel: true,
+//!     may_advise: false, messages_per_s: 0.0, must_subscribe: false, cold_share: 0.2, cold_ms: 10_000.0,
+//!     fall_multiple: 3.0, fall_ms: 2000.0,
+//! };
+//! let mut limiter = Limiter::new(settings.clone(), 42, 0.0)?;
+//! let mut actions = Vec::new();
+//!
+//! let entry = ServerEntry {
+//!     server: "10.0.0.1:80".into(), zone: 0, cell: 0, condition: Condition::Serving, weight: 1.0, started: 0.0,
+//! };
+//! limiter.handle(0.0, Event::Servers { whole: true, entries: [entry].into() }, &mut actions);
+//!
+//! let request = Request {
+//!     id: 1, class: 0, plan: 0, customer: 7, budget_ms: 3000.0, units: 1.0, spread: 1, first: 0,
+//! };
+//! limiter.handle(5.0, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: 1, .. })));
+//!
+//! // Settings that cannot be served are refused, and the error names the value.
+//! let error = Limiter::new(Settings { limiters: 0, ..settings }, 42, 0.0).unwrap_err();
+//! assert!(error.contains("limiters"));
+//! # Ok::<(), String>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod interface;
+mod legal;
+mod message;
+pub mod policy;
+mod state;
+
+pub use interface::*;
+pub use policy::Limiter;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,906 @@
+//! All decisions of one limiter. The types it speaks are in `src/interface.rs`.
+//!
+//! The ordinary path is CASA's (`docs/design.md`): a quota gate, then cost-scaled slots under a moving limit.
+
+use crate::interface::*;
+use crate::legal::check;
+use crate::message::{has_room, message, read_message, Ask, Done, Line, Word};
+pub use crate::state::Limiter;
+use crate::state::*;
+
+// Feedback (CASA).
+/// Slot limit at the start: generous; it binds once the error turns positive.
+const START_LIMIT: f64 = 4096.0;
+/// Slots a server that the limits of all limiters together keep at least: a lower limit starves itself.
+const LEAST_SLOTS: f64 = 6.0;
+/// Share of the aim that smoothed latency may reach; above it the error is positive. Low, since latency tells
+/// of a queue only once the queue is served: at half the aim a flood had filled the servers by then.
+const AIM_PART: f64 = 0.25;
+/// Milliseconds between two steps of the feedback, and in which numBigQueries moves by error times damping.
+const STEP_MS: Millis = 100.0;
+const FULL_STEP_MS: Millis = 1000.0;
+/// Most that alpha may be: with more, one costly request fills a bound limit and the back end idles.
+const MOST_ALPHA: f64 = 2.0;
+/// Latency, hold and admit rates are smoothed over so many samples, within these milliseconds; older values
+/// fade at the same pace, which also ages them after a stall.
+const SAMPLES: f64 = 20.0;
+const SMOOTH_MS: (Millis, Millis) = (1000.0, 10_000.0);
+/// Growth of the limit in one step with a negative error, while more than half of it is used: an unused
+/// limit says nothing of what the back end could take.
+const LIMIT_GROWTH: f64 = 0.03;
+/// Recent requests whose units set the class bounds; share of the aim that a request may be held.
+const UNITS_KEPT: usize = 256;
+const HOLD_PART: f64 = 0.25;
+
+// Quotas: members and keepers.
+/// Shares of a customer's ceiling that its keepers own, the first asked first. Fixed: no silence moves them;
+/// the first one's is near the whole quota, the others carry on while it is dead.
+const CEILING_PARTS: [f64; 3] = [0.62, 0.23, 0.15];
+/// Share of the quota that the others grant: the first one may be cut off from some members only.
+const BACKUP_PART: f64 = 0.5;
+/// Milliseconds after its arrival in which a request may spend units granted under a ceiling; until then the
+/// keeper counts them against its depth. Waits for a word and for room fit in.
+const GRANT_MS: Millis = 500.0;
+/// Milliseconds that a keeper remembers its words, and that they count at a member.
+const GRANT_KEPT_MS: Millis = 8000.0;
+const TOLD_MS: Millis = 4000.0;
+/// A member lets this many times the quota pass to the keeper, whose store decides exactly.
+const ASK_OVER: f64 = 1.5;
+/// Asks to one keeper before the next is asked; misses in a row at which it counts as silent, and for how
+/// many milliseconds.
+const ASKS: u32 = 2;
+const SILENT_MISSES: u32 = 3;
+const SILENT_MS: Millis = 1000.0;
+/// A word is late after this many usual waits; the usual wait at the start, in milliseconds; weight of the
+/// newest.
+const LATE_TIMES: f64 = 2.5;
+const FIRST_WAIT_MS: Millis = 40.0;
+const NEWEST_WAIT: f64 = 0.1;
+/// Share of the aim in which keepers are asked; then the even part decides.
+const WORD_PART: f64 = 0.4;
+/// Share of the receivers' message allowance that this limiter sends, and seconds of it sent in one go.
+const MAIL_PART: (f64, f64) = (0.8, 0.1);
+/// Asks heard after a pause of so many milliseconds are old.
+const STALL_MS: Millis = 500.0;
+/// Least and most milliseconds over which demand is smoothed, in between the time of a whole burst; a
+/// customer not seen for so many milliseconds is dropped, if its stores are full by then.
+const DEMAND_MS: (Millis, Millis) = (1000.0, 10_000.0);
+const IDLE_MS: Millis = 60_000.0;
+
+// Servers, attempts.
+/// Weight of the newest latency or error in a server's smoothed figures, and of the newest latency in the
+/// usual one of all servers.
+const NEWEST: f64 = 0.2;
+const NEWEST_USUAL: f64 = 0.05;
+/// Smoothed share of errors, and silent attempts in a row, at which a server is set aside; an attempt is
+/// silent at the earliest after so many times the server's usual latency.
+const BAD_ERRORS: f64 = 0.4;
+const BAD_SILENCES: u32 = 3;
+const SLOW_TIMES: f64 = 6.0;
+/// First and longest time that a server is set aside, in milliseconds; it doubles in between.
+const ASIDE_MS: (Millis, Millis) = (1000.0, 8000.0);
+/// Milliseconds that a full server is passed over; share of the aim after which silence is acted on.
+const FULL_MS: Millis = 100.0;
+const CHECK_PART: f64 = 0.4;
+/// Retries that each first attempt pays for, and most that can be saved up.
+const RETRY_PART: (f64, f64) = (0.2, 20.0);
+/// Least size of a server that counts; factor on its expected time in another zone, a mild preference;
+/// milliseconds over which the pace of sends to warm servers is measured, the guide for cold ones.
+const LEAST_WEIGHT: f64 = 0.1;
+const CROSS_ZONE: f64 = 1.05;
+const PACE_MS: Millis = 5000.0;
+/// Limiters that use one server, and servers that a limiter uses at least: among fewer it learns sooner which
+/// are slow, and what it has out there holds it back.
+const USERS: f64 = 8.0;
+const LEAST_CHOICES: f64 = 2.0;
+/// Factor on the time of one set aside or just tried, the last choice.
+const LAST_TIMES: f64 = 1e6;
+/// Answers of a server within the pace time at which its own latency weighs as much as the usual one.
+const TRUST: f64 = 3.0;
+
+impl Limiter {
+    /// A limiter that has just started. Settings that cannot be served are an error that names the value.
+    pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Self, String> {
+        check(&settings)?;
+        Ok(Limiter {
+            limit: START_LIMIT,
+            big: START_LIMIT,
+            retries: RETRY_PART.1,
+            wait_ms: FIRST_WAIT_MS,
+            ..Limiter::blank(settings, seed, now, SMOOTH_MS.0, PACE_MS)
+        })
+    }
+
+    /// Takes one event in and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if self.now - self.stepped > STALL_MS {
+            self.woke = self.now;
+        }
+        if !self.started {
+            self.started = true;
+            out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
+            if self.settings.must_subscribe {
+                out.push(Action::Subscribe(true));
+            }
+        }
+        match event {
+            Event::Servers { whole, entries } => self.on_servers(whole, &entries, out),
+            Event::ListFailed => out.push(Action::Subscribe(true)),
+            Event::Request(request) => self.on_request(request, out),
+            Event::Streaming { id } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
+            Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, .. } => {
+                if self.attempts.contains_key(&(id, attempt)) || settled {
+                    if let Some(open) = self.requests.get_mut(&id) {
+                        open.true_units = units;
+                    }
+                    self.on_attempt_ended(id, attempt, outcome, took_ms);
+                    self.after_attempt(id, outcome, settled, out);
+                    self.pump(out);
+                }
+            }
+            Event::ClientGone { id } => drop(self.close(id, out)),
+            Event::Wake { token } => self.on_wake(token, out),
+            Event::Heard { from, body } => self.on_heard(from, &body, out),
+            Event::Probed { .. } | Event::Counted { .. } => {}
+        }
+    }
+
+    // ---- Requests and their answers ----
+
+    fn on_request(&mut self, mut request: Request, out: &mut Vec<Action>) {
+        if self.requests.contains_key(&request.id)
+            || request.class >= self.settings.classes.len()
+            || request.plan >= self.settings.plans.len()
+        {
+            return;
+        }
+        request.spread = request.spread.clamp(1, self.settings.limiters);
+        request.first %= self.settings.limiters;
+        self.note_units(request.units);
+        if self.thinned(&request) {
+            out.push(Action::Refuse { id: request.id, retry_ms: 0.0 });
+            return;
+        }
+        let aim = self.settings.classes[request.class].aim_ms;
+        // Two rounds early: a wake-up comes up to one round late, and the answer takes its way too.
+        let deadline = (request.budget_ms - 2.0 * self.settings.round_ms).max(0.0);
+        out.push(Action::Wake { after_ms: deadline, token: token(request.id, WAKE_DEADLINE) });
+        if aim < deadline {
+            out.push(Action::Wake { after_ms: aim, token: token(request.id, WAKE_AIM) });
+        }
+        let id = request.id;
+        let plan = &self.settings.plans[request.plan];
+        let bound = plan.rate > 0.0 || plan.open > 0 || plan.ceiling_rate > 0.0;
+        let open = Open::new(request, self.now, self.now + deadline);
+        self.requests.insert(id, open);
+        if bound {
+            self.ask(id, out);
+        } else {
+            self.dispatch(id, out);
+        }
+    }
+
+    /// Sends a request on if its slots fit and a server may have it; holds it otherwise.
+    fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if !self.try_send(id, out) {
+            self.held.push_back(id);
+            self.hold_rate.add(self.now, 1.0);
+        }
+    }
+
+    fn try_send(&mut self, id: RequestId, out: &mut Vec<Action>) -> bool {
+        let Some(open) = self.requests.get(&id) else { return true };
+        let slots = self.slots(open.request.units);
+        let fits = self.occupied <= 0.0 || self.busy_slots() + slots <= self.limit;
+        let server = if fits { self.choose(id) } else { None };
+        let sent = server.is_some();
+        if let Some(server) = server {
+            self.send(id, server, slots, out);
+        }
+        if let Some(open) = self.requests.get_mut(&id) {
+            open.held = !sent;
+        }
+        sent
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, slots: f64, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        self.sends.add(self.now, 1.0);
+        if request.attempts == 0 {
+            self.admit_rate.add(self.now, 1.0);
+            self.retries = (self.retries + RETRY_PART.0).min(RETRY_PART.1);
+        }
+        let class = request.request.class;
+        let check_ms = self.settings.classes[class].aim_ms * CHECK_PART;
+        let attempt = request.attempts;
+        request.attempts += 1;
+        request.out = true;
+        request.last = Some(server.clone());
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out += 1;
+            s.cold.level -= 1.0;
+        }
+        self.occupied += slots;
+        let record = Attempt { server: server.clone(), sent: self.now, slots, class, cancelled: false };
+        self.attempts.insert((id, attempt), record);
+        out.push(Action::Send { id, server, cap_ms: 0.0 });
+        out.push(Action::Wake { after_ms: check_ms, token: token(id, WAKE_CHECK) });
+    }
+
+    /// Books the end of an attempt: slots, server health, latency, true units.
+    fn on_attempt_ended(&mut self, id: RequestId, n: u32, outcome: Outcome, took: Millis) {
+        let Some(attempt) = self.attempts.remove(&(id, n)) else { return };
+        self.occupied = (self.occupied - attempt.slots).max(0.0);
+        if outcome == Outcome::Cancelled {
+            self.ghosts.add(self.now, attempt.slots);
+        }
+        let aim = self.settings.classes[attempt.class].aim_ms;
+        let proved = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        if !proved {
+            // One heavy request says no more than that it missed its aim: a mean of clipped values is not
+            // driven by a few. Guards against heavy tails and stuck servers throttling everyone.
+            self.own.add(self.now, (took / aim).min(1.0));
+            self.latency.add(self.now, (took / aim).min(1.0));
+        }
+        if outcome == Outcome::Ok {
+            self.done.add(self.now, 1.0);
+            self.aims.add(self.now, aim);
+            self.usual += if self.usual > 0.0 { NEWEST_USUAL } else { 1.0 } * (took - self.usual);
+        }
+        self.full.add(self.now, if outcome == Outcome::Full { 1.0 } else { 0.0 });
+        if let Some(s) = self.servers.get_mut(&attempt.server) {
+            s.out = s.out.saturating_sub(1);
+            s.note(self.now, outcome, took, attempt.cancelled);
+        }
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.out = false;
+            if !proved && r.may_have_run.is_none() {
+                let place =
+                    self.servers.get(&attempt.server).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
+                r.may_have_run = Some((attempt.sent, place.0, place.1));
+            }
+        }
+    }
+
+    /// Goes on after an attempt ended: another attempt where it is safe and paid for, else an end.
+    fn after_attempt(&mut self, id: RequestId, outcome: Outcome, settled: bool, out: &mut Vec<Action>) {
+        if settled || outcome == Outcome::Ok {
+            self.close(id, out);
+            return;
+        }
+        let repeat = self.requests.get(&id).is_some_and(|r| self.may_repeat(r)) && self.retries >= 1.0;
+        if !repeat {
+            return self.end(id, out);
+        }
+        self.retries -= 1.0;
+        self.dispatch(id, out);
+    }
+
+    /// Whether the rules and the time left allow another attempt.
+    fn may_repeat(&self, request: &Open) -> bool {
+        let class = &self.settings.classes[request.request.class];
+        let late = self.now - request.arrived > class.aim_ms && class.late_worth <= 0.0;
+        let spent = request.attempts >= self.settings.max_attempts || self.now >= request.deadline;
+        if request.out || request.streaming || late || spent {
+            return false;
+        }
+        match (class.effect, request.may_have_run) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed, Some((sent, ..))) => self.now - sent < class.window_ms - self.settings.round_ms,
+        }
+    }
+
+    /// Gives the final answer: a refusal where nothing can have run, else a failure that promises nothing.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.close(id, out) else { return };
+        let safe = self.settings.classes[request.request.class].effect == Effect::Safe;
+        if request.out && self.settings.may_cancel {
+            let attempt = request.attempts - 1;
+            self.attempts.entry((id, attempt)).and_modify(|a| a.cancelled = true);
+            out.push(Action::Cancel { id, attempt });
+        }
+        if safe || (request.may_have_run.is_none() && !request.out) {
+            out.push(Action::Refuse { id, retry_ms: 0.0 });
+        } else {
+            out.push(Action::Fail { id });
+        }
+    }
+
+    /// Takes a request off the books and tells its keeper what it really used.
+    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<Open> {
+        let open = self.requests.remove(&id)?;
+        let Some(keeper) = open.keeper else { return Some(open) };
+        let units = open.request.units;
+        let used = if open.attempts == 0 { 0.0 } else { open.true_units.unwrap_or(units) };
+        if used != units || self.settings.plans[open.request.plan].open > 0 {
+            let done = Done { id, used: used as f32 };
+            self.tell(keeper, Line::Done(done), out);
+        }
+        Some(open)
+    }
+
+    /// Sends held requests on, the oldest first, and ends those whose time runs short.
+    fn pump(&mut self, out: &mut Vec<Action>) {
+        for _ in 0..self.held.len() {
+            let Some(id) = self.held.pop_front() else { return };
+            let Some(request) = self.requests.get_mut(&id).filter(|r| r.held) else { continue };
+            let hold_ms = self.settings.classes[request.request.class].aim_ms * HOLD_PART;
+            let short = request.attempts == 0 && self.now - request.let_in > hold_ms;
+            request.held = false;
+            // A repeat that was held may have outlived the time in which servers drop it: asked again here.
+            if short || self.lapsed(&self.requests[&id]) || !self.may_repeat(&self.requests[&id]) {
+                self.end(id, out);
+            } else if !self.try_send(id, out) {
+                self.held.push_front(id);
+                return;
+            }
+        }
+    }
+
+    fn on_wake(&mut self, wake: u64, out: &mut Vec<Action>) {
+        if wake == WAKE_STEP {
+            self.step(out);
+            out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
+            return;
+        }
+        if wake == WAKE_MAIL {
+            self.mail_due = false;
+            return self.send_mail(out);
+        }
+        let id = (wake >> 3) as RequestId;
+        let Some(request) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
+        match wake & 7 {
+            WAKE_DEADLINE if self.now >= request.deadline => self.end(id, out),
+            // Nothing is earned after the aim: ending now frees the server and saves the price of a late end.
+            WAKE_AIM if self.settings.classes[request.request.class].late_worth <= 0.0 => self.end(id, out),
+            WAKE_CHECK => self.check_silence(id, out),
+            WAKE_WORD => self.check_word(id, out),
+            _ => {}
+        }
+    }
+
+    /// Guards against servers that take work and answer nothing (hang, vanish, cut link): an attempt at a
+    /// server that has shown no life since it was sent is called off and sent elsewhere. It may harm where a
+    /// server is merely idle and the request heavy; the retry budget bounds that.
+    fn check_silence(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id).filter(|r| r.out) else { return };
+        let attempt = request.attempts - 1;
+        let class = &self.settings.classes[request.request.class];
+        let Some(record) = self.attempts.get_mut(&(id, attempt)) else { return };
+        if self.now - record.sent < class.aim_ms * CHECK_PART - 1.0 || record.cancelled {
+            return;
+        }
+        let Some(server) = self.servers.get_mut(&record.server) else { return };
+        if server.last_answer >= record.sent {
+            return;
+        }
+        let after_ms = server.latency(self.now, self.usual) * SLOW_TIMES - (self.now - record.sent);
+        if after_ms > 1.0 {
+            return out.push(Action::Wake { after_ms, token: token(id, WAKE_CHECK) });
+        }
+        // What a silent server holds takes no room from the others.
+        self.occupied = (self.occupied - record.slots).max(0.0);
+        record.slots = 0.0;
+        let repeats = class.effect != Effect::Unsafe && request.attempts < self.settings.max_attempts;
+        if repeats && self.settings.may_cancel && self.retries >= 1.0 {
+            record.cancelled = true;
+            out.push(Action::Cancel { id, attempt });
+        } else {
+            server.silent(self.now);
+        }
+    }
+
+    // ---- CASA: classes, slots, feedback ----
+
+    /// Remembers a request's units; the class bounds are the quartiles of the recent ones.
+    fn note_units(&mut self, units: f64) {
+        self.units.push_back(units);
+        self.units.drain(..self.units.len().saturating_sub(UNITS_KEPT));
+    }
+
+    fn set_bounds(&mut self) {
+        let mut sorted: Vec<f64> = self.units.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        if let Some(last) = sorted.len().checked_sub(1) {
+            self.bounds = [0.0, sorted[last / 4], sorted[last / 2], sorted[last * 3 / 4]];
+        }
+    }
+
+    /// Slots that a request occupies: alpha * l / lmax + 1.
+    fn slots(&self, units: f64) -> f64 {
+        let lower = self.bounds.iter().rev().find(|b| units >= **b).copied().unwrap_or(0.0);
+        (self.limit / self.big - 1.0) * lower / self.bounds[3].max(1e-9) + 1.0
+    }
+
+    /// Slots out, with those called off a moment ago: a cancel need not stop the work.
+    fn busy_slots(&self) -> f64 {
+        self.occupied + self.ghosts.value(self.now)
+    }
+
+    /// One step of the feedback. The limit moves first and numBigQueries in proportion, so that alpha
+    /// moves by the damped feedback alone.
+    fn feedback(&mut self) {
+        // Smoothed latency over the target, minus one, plus the share refused as full.
+        let full = self.full.value(self.now).unwrap_or(0.0);
+        let error = self.latency.value(self.now).map_or(-1.0, |l| l / AIM_PART - 1.0) + full;
+        let (held, admitted) = (self.hold_rate.rate(self.now), self.admit_rate.rate(self.now));
+        let before = self.limit;
+        // Little's law: what the back end finishes in the target time; more than that out only waits there.
+        let target_s = AIM_PART * self.aims.value(self.now) / self.done.value(self.now).max(1.0) / 1000.0;
+        let least = LEAST_SLOTS * self.servers.len() as f64 / f64::from(self.settings.limiters);
+        let bound = (self.done.rate(self.now) * target_s).max(least).max(2.0);
+        if error > 0.0 {
+            self.limit = self.limit.min(bound);
+        } else if self.busy_slots() * 2.0 > self.limit {
+            self.limit = (self.limit * (1.0 + LIMIT_GROWTH)).max(bound).min(START_LIMIT);
+        }
+        let factor = if error > 0.0 { held } else { admitted } / (held + admitted + 1.0);
+        self.big = (self.big * self.limit / before - error * factor * STEP_MS / FULL_STEP_MS)
+            .clamp((self.limit / (MOST_ALPHA + 1.0)).max(1.0), self.limit);
+    }
+
+    fn step(&mut self, out: &mut Vec<Action>) {
+        self.stepped = self.now;
+        self.respan();
+        let warm = self.servers.values().filter(|s| s.cold_from.is_none()).count();
+        self.pace = self.sends.rate(self.now) / warm.max(1) as f64;
+        self.set_bounds();
+        self.feedback();
+        self.pump(out);
+        out.extend(self.servers.iter_mut().filter_map(|(id, s)| s.watch(id)).map(Action::Log));
+        self.drop_idle();
+    }
+
+    /// One limiter of hundreds sees a few requests a second: rates and latency go over enough of them.
+    fn respan(&mut self) {
+        let per_ms = self.admit_rate.rate(self.now) / 1000.0;
+        let span = (SAMPLES / per_ms.max(1e-9)).clamp(SMOOTH_MS.0, SMOOTH_MS.1);
+        let Limiter { own, latency, full, done, aims, hold_rate, admit_rate, now, .. } = self;
+        let means = [own, latency, full].into_iter().flat_map(|m| [&mut m.sum, &mut m.count]);
+        for fading in means.chain([done, aims, hold_rate, admit_rate]) {
+            fading.respan(*now, span);
+        }
+    }
+
+    /// Forgets customers not seen for long, and what was granted long ago.
+    fn drop_idle(&mut self) {
+        let Limiter { now, settings, accounts, grants, customers, .. } = self;
+        customers.retain(|_, c| *now - c.seen < IDLE_MS);
+        let longest = settings.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max);
+        grants.retain(|_, g| {
+            let age = *now - g.at;
+            if let Some(a) = accounts.get_mut(&g.customer) {
+                if g.lent && age > GRANT_MS {
+                    g.lent = false;
+                    a.lent = (a.lent - g.units).max(0.0);
+                }
+                // A lost word of the end must not hold its place for ever.
+                if g.open && age > longest {
+                    g.open = false;
+                    a.open = a.open.saturating_sub(1);
+                }
+            }
+            age < GRANT_KEPT_MS.max(longest)
+        });
+        accounts.retain(|_, a| *now - a.seen < IDLE_MS.max(2.0 * refill_ms(&settings.plans[a.plan])));
+    }
+
+    // ---- Quotas and ceilings: the member ----
+
+    fn customer(&mut self, request: &Request) -> &mut Customer {
+        let now = self.now;
+        let burst = self.settings.plans[request.plan].burst / f64::from(request.spread);
+        self.customers.entry(request.customer).or_insert_with(|| {
+            let even = Store { level: burst.max(request.units), at: now };
+            Customer { even, told: 0.0, told_at: f64::NEG_INFINITY, unasked: 0.0, seen: now }
+        })
+    }
+
+    /// The chance by which summed demand passes the quota refuses at once. It also keeps a flood of one
+    /// customer from drowning its keeper in asks; what is refused so is told with the next ask.
+    fn thinned(&mut self, request: &Request) -> bool {
+        let now = self.now;
+        let chance_in = self.rng.f64();
+        let c = self.customer(request);
+        c.seen = now;
+        if now - c.told_at > TOLD_MS {
+            c.unasked = 0.0;
+            return false;
+        }
+        let refuse = chance_in < 1.0 - ASK_OVER / c.told.max(1e-9);
+        c.unasked += if refuse { request.units } else { 0.0 };
+        refuse
+    }
+
+    /// Asks the first keeper that is not silent; where none is left, the even part decides.
+    fn ask(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        loop {
+            let Some(open) = self.requests.get_mut(&id) else { return };
+            let request = &open.request;
+            let aim = self.settings.classes[request.class].aim_ms;
+            let silent = |k: u32| {
+                let missed = self.missed.get(&k);
+                missed.is_some_and(|m| m.misses >= SILENT_MISSES && self.now - m.at < SILENT_MS)
+            };
+            let set = (request.first, request.spread);
+            let Some(keeper) = keeper(request.customer, set, self.settings.limiters, open.rank)
+                .filter(|_| self.now - open.arrived < WORD_PART * aim)
+            else {
+                return self.by_even_part(id, out);
+            };
+            let c = self.customers.get(&request.customer);
+            let unasked = c.map_or(0.0, |c| c.unasked) as f32;
+            let (id, plan, customer) = (request.id, request.plan as u8, request.customer);
+            let (first, spread) = (request.first as u16, request.spread as u16);
+            let ask = Ask { id, customer, plan, first, spread, units: request.units as f32, unasked };
+            if keeper == self.settings.position {
+                if let Some(word) = self.judge(keeper, self.incarnation, &ask) {
+                    return self.on_word(keeper, &word, out);
+                }
+            } else if self.settings.may_tell && !silent(keeper) {
+                open.asked = Some((keeper, self.now));
+                open.asks += 1;
+                let after_ms = self.wait_ms * LATE_TIMES + 2.0 * self.settings.round_ms;
+                out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
+                return self.tell(keeper, Line::Ask(ask), out);
+            }
+            self.requests.entry(id).and_modify(|r| (r.rank, r.asks) = (r.rank + 1, 0));
+        }
+    }
+
+    /// A late word is asked for again, then the next keeper is asked. Guards against lost messages, and
+    /// keepers that are dead, stalled or cut off.
+    fn check_word(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let late = self.wait_ms * LATE_TIMES;
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some((keeper, at)) = open.asked.filter(|(_, at)| self.now - at >= late) else { return };
+        let missed = self.missed.entry(keeper).or_insert(Missed { misses: 0, at });
+        *missed = Missed { misses: missed.misses + 1, at: self.now };
+        open.asked = None;
+        if open.asks >= ASKS {
+            (open.rank, open.asks) = (open.rank + 1, 0);
+        }
+        self.ask(id, out);
+    }
+
+    /// Takes a keeper's word in, wherever it comes in time.
+    fn on_word(&mut self, from: u32, word: &Word, out: &mut Vec<Action>) {
+        let own = from == self.settings.position;
+        let waits = |r: &&mut Open| r.attempts == 0 && r.keeper.is_none() && (own || r.asked.is_some());
+        let Some(open) = self.requests.get_mut(&word.id).filter(waits) else { return };
+        if let Some((_, at)) = open.asked.take().filter(|a| a.0 == from) {
+            self.wait_ms += NEWEST_WAIT * (self.now - at - self.wait_ms);
+        }
+        open.let_in = self.now;
+        if let Some(c) = self.customers.get_mut(&open.request.customer) {
+            (c.told, c.told_at, c.unasked) = (f64::from(word.over), self.now, 0.0);
+        }
+        open.keeper = word.granted.then_some(from);
+        if !word.granted || self.lapsed(&self.requests[&word.id]) {
+            self.end(word.id, out);
+        } else {
+            self.dispatch(word.id, out);
+        }
+    }
+
+    /// No keeper answers: the even part of rate and burst, one request at least; under a cap on attempts out
+    /// alone, its even part in the time of one aim. Nobody but the keepers owns a part of a ceiling, so that
+    /// such a customer is refused.
+    fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let (request, units) = (&open.request, open.request.units);
+        let plan = &self.settings.plans[request.plan];
+        let Some(c) = self.customers.get_mut(&request.customer) else { return };
+        let most = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.open) * units };
+        let aim_s = self.settings.classes[request.class].aim_ms / 1000.0;
+        let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
+        let part = f64::from(request.spread).recip();
+        c.even.fill(self.now, rate * part, (most * part).max(units));
+        if plan.ceiling_rate > 0.0 || c.even.level < units {
+            return self.end(id, out);
+        }
+        c.even.level -= units;
+        open.let_in = self.now;
+        self.dispatch(id, out);
+    }
+
+    /// Units granted under a ceiling and not spent in time count no more against the keeper's depth.
+    fn lapsed(&self, open: &Open) -> bool {
+        let ceiled = self.settings.plans[open.request.plan].ceiling_rate > 0.0;
+        open.attempts == 0 && ceiled && self.now - open.arrived > GRANT_MS
+    }
+
+    // ---- Quotas and ceilings: the keeper ----
+
+    /// The keeper's word on an ask; the same again for a repeat. The ceiling part starts as if spent and
+    /// fills only once all that an earlier start of this limiter may have granted has lapsed.
+    fn judge(&mut self, from: u32, born: u32, ask: &Ask) -> Option<Word> {
+        let (now, n) = (self.now, self.settings.limiters);
+        let plan = self.settings.plans.get(usize::from(ask.plan))?;
+        let (set, me) = ((ask.first.into(), ask.spread.into()), self.settings.position);
+        let rank = (0..CEILING_PARTS.len()).find(|k| keeper(ask.customer, set, n, *k as u32) == Some(me))?;
+        let (part, share) = (CEILING_PARTS[rank], if rank == 0 { 1.0 } else { BACKUP_PART });
+        let span = (1000.0 * plan.burst / plan.rate.max(1e-9)).clamp(DEMAND_MS.0, DEMAND_MS.1);
+        let a = self.accounts.entry(ask.customer).or_insert_with(|| {
+            let store = Store { level: plan.burst * share, at: now };
+            let ceiling = Store { level: -plan.ceiling_slack * part, at: self.born + GRANT_MS };
+            let demand = Fading::new(now, span);
+            let (plan, let_in) = (ask.plan.into(), demand);
+            Account { plan, part, store, ceiling, lent: 0.0, open: 0, demand, let_in, seen: now }
+        });
+        a.seen = now;
+        // Demand as a multiple of the quota; of what was let in where a cap on attempts out is full.
+        let over = |a: &Account| {
+            let full = plan.open > 0 && a.open >= plan.open;
+            let quota = if plan.rate > 0.0 { plan.rate } else { f64::INFINITY };
+            (a.demand.rate(now) / if full { a.let_in.rate(now).max(1e-3) } else { quota }) as f32
+        };
+        if let Some(g) = self.grants.get(&(from, born, ask.id)) {
+            return Some(Word { id: ask.id, born, granted: g.granted, over: over(a) });
+        }
+        let units = f64::from(ask.units);
+        a.demand.add(now, units + f64::from(ask.unasked));
+        a.store.fill(now, plan.rate * share, plan.burst * share);
+        a.ceiling.fill(now, plan.ceiling_rate * a.part, plan.ceiling_burst * a.part - a.lent);
+        let inside = plan.rate <= 0.0 || a.store.level >= units;
+        let room = plan.open == 0 || a.open < plan.open;
+        let ceiled = plan.ceiling_rate > 0.0;
+        let under = !ceiled || a.ceiling.level - units >= -plan.ceiling_slack * a.part;
+        let granted = inside && room && under && usize::from(ask.plan) == a.plan;
+        if granted {
+            a.store.level -= units;
+            a.ceiling.level -= units;
+            a.lent += if ceiled { units } else { 0.0 };
+            a.open += 1;
+            a.let_in.add(now, units);
+        }
+        let (lent, open, done) = (granted && ceiled, granted, !granted);
+        let grant = Grant { customer: ask.customer, at: now, units, granted, lent, open, done };
+        let word = Word { id: ask.id, born, granted, over: over(a) };
+        self.grants.insert((from, born, ask.id), grant);
+        Some(word)
+    }
+
+    /// A granted request has ended: its place is free, and the quota takes what it really used.
+    fn on_done(&mut self, from: u32, born: u32, done: Done) {
+        let Some(grant) = self.grants.get_mut(&(from, born, done.id)) else { return };
+        let Some(a) = self.accounts.get_mut(&grant.customer) else { return };
+        if grant.done {
+            return;
+        }
+        grant.done = true;
+        if grant.open {
+            grant.open = false;
+            a.open = a.open.saturating_sub(1);
+        }
+        let most = self.settings.plans[a.plan].burst;
+        a.store.level -= f64::from(done.used).min(grant.units + most) - grant.units;
+    }
+
+    // ---- Messages ----
+
+    /// Puts a line into the next message to a peer, and sends what the allowance lets through.
+    fn tell(&mut self, to: u32, line: Line, out: &mut Vec<Action>) {
+        if let (true, Line::Done(done)) = (to == self.settings.position, line) {
+            return self.on_done(to, self.incarnation, done);
+        }
+        match self.outbox.iter_mut().find(|(p, lines)| *p == to && has_room(lines, &line)) {
+            Some((_, lines)) => lines.push(line),
+            None => self.outbox.push_back((to, vec![line])),
+        }
+        self.send_mail(out);
+    }
+
+    fn send_mail(&mut self, out: &mut Vec<Action>) {
+        let rate = self.settings.messages_per_s * MAIL_PART.0;
+        self.mail.fill(self.now, rate, (rate * MAIL_PART.1).max(1.0));
+        let share = self.own.value(self.now);
+        while self.mail.level >= 1.0 {
+            let Some((to, lines)) = self.outbox.pop_front() else { return };
+            self.mail.level -= 1.0;
+            out.push(Action::Tell { to: Some(to), body: message(self.incarnation, share, &lines) });
+        }
+        if !self.mail_due && !self.outbox.is_empty() && rate > 0.0 {
+            self.mail_due = true;
+            let after_ms = ((1.0 - self.mail.level) * 1000.0 / rate).max(self.settings.round_ms.max(1.0));
+            out.push(Action::Wake { after_ms, token: WAKE_MAIL });
+        }
+    }
+
+    fn on_heard(&mut self, from: u32, body: &[u8], out: &mut Vec<Action>) {
+        if from >= self.settings.limiters || from == self.settings.position {
+            return;
+        }
+        let Some((born, share, lines)) = read_message(body) else { return };
+        self.missed.remove(&from);
+        if let Some(share) = share {
+            self.latency.add(self.now, share);
+        }
+        for line in lines {
+            match line {
+                // After a stall the members that asked have gone on: an answer would only waste units.
+                Line::Ask(ask) if self.woke < self.now => {
+                    if let Some(word) = self.judge(from, born, &ask) {
+                        self.tell(from, Line::Word(word), out);
+                    }
+                }
+                Line::Word(word) if word.born == self.incarnation => self.on_word(from, &word, out),
+                Line::Done(done) => self.on_done(from, born, done),
+                _ => {}
+            }
+        }
+    }
+
+    // ---- Servers ----
+
+    fn on_servers(&mut self, whole: bool, entries: &[ServerEntry], out: &mut Vec<Action>) {
+        if whole {
+            self.servers.retain(|id, _| entries.iter().any(|e| e.server == *id));
+        }
+        for e in entries {
+            if e.condition == Condition::Gone {
+                self.servers.remove(&e.server);
+                continue;
+            }
+            let now = self.now;
+            let cold = e.started > 0.0 && now - e.started < self.settings.cold_ms;
+            let fresh = || Server::new(e.clone(), now, PACE_MS);
+            let s = self.servers.entry(e.server.clone()).or_insert_with(fresh);
+            if cold && s.cold_from.is_none_or(|from| from < e.started) {
+                s.cold_from = Some(e.started);
+                // Hundreds of limiters that each think one send harmless would push it over: each starts
+                // somewhere between none and one, so that they come one after the other.
+                s.cold = Store { level: self.rng.f64(), at: now };
+            }
+            s.entry = e.clone();
+        }
+        self.order = self.servers.keys().cloned().collect();
+        self.pump(out);
+    }
+
+    /// The server with the least expected time among some that may have the request.
+    fn choose(&mut self, id: RequestId) -> Option<ServerId> {
+        let Limiter { requests, servers, order, settings, rng, now, pace, usual, .. } = self;
+        let request = requests.get(&id)?;
+        // Golden ratio: limiters side by side, which share customers, start far apart, and all evenly.
+        let start = ((f64::from(settings.position) * 0.618_034).fract() * order.len() as f64) as usize;
+        let choices = (USERS * order.len() as f64 / f64::from(settings.limiters)).max(LEAST_CHOICES) as usize;
+        let (mut best, mut seen): (Option<(f64, &ServerId)>, usize) = (None, 0);
+        for at in (start..order.len()).chain(0..start) {
+            let id = &order[at];
+            let Some(s) = servers.get_mut(id) else { continue };
+            if !s.may_have(*now, *pace, settings) || !in_group(request, s, settings) {
+                continue;
+            }
+            let last = *now < s.aside_until || request.last.as_ref() == Some(id);
+            let factor = if last { LAST_TIMES } else { 1.0 + 0.1 * rng.f64() };
+            let time = s.expected(*now, *usual, settings.zone) * factor;
+            if best.is_none_or(|b| time < b.0) {
+                best = Some((time, id));
+            }
+            seen += usize::from(!last);
+            if seen == choices {
+                break;
+            }
+        }
+        best.map(|b| b.1.clone())
+    }
+}
+
+impl Server {
+    /// Its own latency as far as its answers are enough to trust, else the usual one of all servers.
+    fn latency(&self, now: Millis, usual: Millis) -> Millis {
+        let trust = if self.latency > 0.0 { self.heard.value(now) } else { 0.0 };
+        (self.latency * trust + usual * TRUST) / (trust + TRUST)
+    }
+
+    /// Time that one more request is expected to take there.
+    fn expected(&self, now: Millis, usual: Millis, zone: u32) -> f64 {
+        let latency = self.latency(now, usual).max(1.0);
+        let cross = if self.entry.zone == zone { 1.0 } else { CROSS_ZONE };
+        let load = f64::from(self.out + 1) / self.entry.weight.max(LEAST_WEIGHT);
+        load * latency * cross * (1.0 + 4.0 * self.errors)
+    }
+
+    fn alive(&mut self, now: Millis) {
+        self.silences = 0;
+        self.last_answer = now;
+        self.heard.add(now, 1.0);
+    }
+
+    fn note(&mut self, now: Millis, outcome: Outcome, took: Millis, cancelled: bool) {
+        match outcome {
+            Outcome::Ok => {
+                self.alive(now);
+                self.errors *= 1.0 - NEWEST;
+                if now >= self.aside_until {
+                    self.aside_for = 0.0;
+                }
+                self.latency += if self.latency > 0.0 { NEWEST } else { 1.0 } * (took - self.latency);
+            }
+            Outcome::Error => {
+                self.alive(now);
+                self.errors += NEWEST * (1.0 - self.errors);
+                if self.errors >= BAD_ERRORS {
+                    self.errors = BAD_ERRORS / 2.0;
+                    self.set_aside(now, "failing");
+                }
+            }
+            Outcome::Full => {
+                self.alive(now);
+                self.full_until = now + FULL_MS;
+            }
+            Outcome::Cancelled if !cancelled => {}
+            Outcome::Cancelled | Outcome::TimedOut | Outcome::Severed | Outcome::NoConnection => {
+                self.silent(now);
+            }
+            Outcome::NotSent => {}
+        }
+    }
+
+    fn silent(&mut self, now: Millis) {
+        self.silences += 1;
+        if self.silences >= BAD_SILENCES {
+            self.set_aside(now, "silent");
+        }
+    }
+
+    fn set_aside(&mut self, now: Millis, why: &'static str) {
+        if now >= self.aside_until {
+            self.aside_for = (self.aside_for * 2.0).clamp(ASIDE_MS.0, ASIDE_MS.1);
+            self.aside_until = now + self.aside_for;
+            self.aside_why = Some(why);
+        }
+    }
+
+    /// Whether anything new may go there now: serving, not full, and within a cold one's part.
+    fn may_have(&mut self, now: Millis, pace: f64, settings: &Settings) -> bool {
+        let silent = self.silences >= BAD_SILENCES && self.out > 0;
+        if self.entry.condition != Condition::Serving || now < self.full_until || silent {
+            return false;
+        }
+        let Some(from) = self.cold_from else { return true };
+        let age = (now - from) / settings.cold_ms.max(1.0);
+        if age >= 1.0 {
+            self.cold_from = None;
+            return true;
+        }
+        // A warm server's pace times the capacity reached is at most this limiter's part of what the server
+        // can do; half the multiple leaves room for requests heavier than the mean.
+        let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
+        self.cold.fill(now, pace * share * (settings.fall_multiple / 2.0).min(1.0), 1.0);
+        self.cold.level >= 1.0
+    }
+}
+
+/// A keyed request that may have run stays in the group of servers that drops its repeats.
+fn in_group(request: &Open, server: &Server, settings: &Settings) -> bool {
+    let class = &settings.classes[request.request.class];
+    match (class.effect, request.may_have_run) {
+        (Effect::Keyed, Some((_, zone, cell))) => match class.group {
+            KeyGroup::All => true,
+            KeyGroup::Zone => server.entry.zone == zone,
+            KeyGroup::Cell => server.entry.cell == cell,
+        },
+        _ => true,
+    }
+}
+
+/// The position of a customer's keeper of that rank, the same at every limiter; none past the last.
+fn keeper(customer: CustomerId, (first, spread): (u32, u32), limiters: u32, rank: u32) -> Option<u32> {
+    let spread = spread.clamp(1, limiters);
+    let keepers = (CEILING_PARTS.len() as u32).min(spread);
+    // Fibonacci hashing: customers fall evenly on their sets.
+    let hash = (customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32;
+    let place = (hash % spread + rank * (spread / keepers)) % spread;
+    let position = (u64::from(first) + u64::from(place)) % u64::from(limiters);
+    (rank < keepers).then_some(position as u32)
+}
+
+/// Milliseconds in which the slower of the plan's stores fills.
+fn refill_ms(plan: &Plan) -> Millis {
+    let time = |amount: f64, rate: f64| if rate > 0.0 { 1000.0 * amount / rate } else { 0.0 };
+    time(plan.burst, plan.rate).max(time(plan.ceiling_burst, plan.ceiling_rate))
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,340 @@
+//! What a limiter remembers, as plain records. What they hold and mean is decided in `policy.rs`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::*;
+use crate::message::Line;
+
+/// A value that fades towards nothing: a sum of amounts over `span` milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Fading {
+    pub sum: f64,
+    pub at: Millis,
+    pub span: Millis,
+}
+
+impl Fading {
+    pub fn new(now: Millis, span: Millis) -> Self {
+        Fading { sum: 0.0, at: now, span }
+    }
+    pub fn add(&mut self, now: Millis, amount: f64) {
+        self.sum = self.value(now) + amount;
+        self.at = now;
+    }
+    pub fn value(&self, now: Millis) -> f64 {
+        self.sum * (-(now - self.at) / self.span).exp()
+    }
+    /// Goes on over another span at the same rate.
+    pub fn respan(&mut self, now: Millis, span: Millis) {
+        *self = Fading { sum: self.value(now) * span / self.span, at: now, span };
+    }
+    /// Amount a second.
+    pub fn rate(&self, now: Millis) -> f64 {
+        self.value(now) * 1000.0 / self.span
+    }
+}
+
+/// The mean of samples that fade: their sum and their number.
+#[derive(Debug, Clone, Copy)]
+pub struct Mean {
+    pub sum: Fading,
+    pub count: Fading,
+}
+
+impl Mean {
+    pub fn add(&mut self, now: Millis, sample: f64) {
+        self.sum.add(now, sample);
+        self.count.add(now, 1.0);
+    }
+    /// The mean, if half a sample or more is left.
+    pub fn value(&self, now: Millis) -> Option<f64> {
+        let count = self.count.value(now);
+        (count > 0.5).then(|| self.sum.value(now) / count)
+    }
+}
+
+/// A store of units that fills with time.
+#[derive(Debug, Clone, Copy)]
+pub struct Store {
+    pub level: f64,
+    pub at: Millis,
+}
+
+impl Store {
+    pub fn fill(&mut self, now: Millis, rate: f64, most: f64) {
+        self.level = (self.level + rate * (now - self.at).max(0.0) / 1000.0).min(most);
+        self.at = self.at.max(now);
+    }
+}
+
+/// One limiter: all that it remembers. `policy.rs` holds its decisions.
+#[derive(Debug)]
+pub struct Limiter {
+    pub(crate) settings: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Millis,
+    pub(crate) born: Millis,
+    /// Tells one start from another in messages.
+    pub(crate) incarnation: u32,
+    pub(crate) started: bool,
+    pub(crate) requests: BTreeMap<RequestId, Open>,
+    pub(crate) attempts: BTreeMap<(RequestId, u32), Attempt>,
+    pub(crate) held: VecDeque<RequestId>,
+    pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    pub(crate) accounts: BTreeMap<CustomerId, Account>,
+    pub(crate) grants: BTreeMap<GrantKey, Grant>,
+    pub(crate) outbox: VecDeque<(u32, Vec<Line>)>,
+    /// Messages that may be sent now.
+    pub(crate) mail: Store,
+    pub(crate) mail_due: bool,
+    pub(crate) missed: BTreeMap<u32, Missed>,
+    /// Usual wait for a keeper's word.
+    pub(crate) wait_ms: Millis,
+    pub(crate) stepped: Millis,
+    /// When this limiter last went on after a pause.
+    pub(crate) woke: Millis,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) order: Vec<ServerId>,
+    pub(crate) sends: Fading,
+    /// Sends a second that this limiter gives a warm server.
+    pub(crate) pace: f64,
+    /// Usual latency of all servers.
+    pub(crate) usual: Millis,
+    pub(crate) units: VecDeque<f64>,
+    /// Lower bounds of the four classes of units.
+    pub(crate) bounds: [f64; 4],
+    pub(crate) occupied: f64,
+    pub(crate) ghosts: Fading,
+    pub(crate) limit: f64,
+    pub(crate) big: f64,
+    /// Latency as a share of the aim, sum and count: of this limiter alone, and with what peers told.
+    pub(crate) own: Mean,
+    pub(crate) latency: Mean,
+    pub(crate) full: Mean,
+    /// Good answers, and the sum of their aims.
+    pub(crate) done: Fading,
+    pub(crate) aims: Fading,
+    pub(crate) hold_rate: Fading,
+    pub(crate) admit_rate: Fading,
+    pub(crate) retries: f64,
+}
+
+impl Limiter {
+    /// Nothing seen yet; rates are smoothed over `smooth`, the pace of sends over `pace`.
+    pub(crate) fn blank(settings: Settings, seed: u64, now: Millis, smooth: Millis, pace: Millis) -> Self {
+        let fading = Fading::new(now, smooth);
+        Limiter {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            born: now,
+            incarnation: now as u64 as u32,
+            started: false,
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            held: VecDeque::new(),
+            customers: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            outbox: VecDeque::new(),
+            mail: Store { level: 1.0, at: now },
+            mail_due: false,
+            missed: BTreeMap::new(),
+            wait_ms: 0.0,
+            stepped: now,
+            woke: f64::NEG_INFINITY,
+            servers: BTreeMap::new(),
+            order: Vec::new(),
+            sends: Fading::new(now, pace),
+            pace: 0.0,
+            usual: 0.0,
+            units: VecDeque::new(),
+            bounds: [0.0; 4],
+            occupied: 0.0,
+            ghosts: fading,
+            limit: 0.0,
+            big: 0.0,
+            own: Mean { sum: fading, count: fading },
+            latency: Mean { sum: fading, count: fading },
+            full: Mean { sum: fading, count: fading },
+            done: fading,
+            aims: fading,
+            hold_rate: fading,
+            admit_rate: fading,
+            retries: 0.0,
+        }
+    }
+}
+
+/// What a member of a customer's set remembers of it.
+#[derive(Debug)]
+pub struct Customer {
+    /// The even part here, for the time without a keeper.
+    pub even: Store,
+    /// Demand at all limiters as a multiple of the quota, as a keeper told it, and when.
+    pub told: f64,
+    pub told_at: Millis,
+    /// Units refused by chance since the last ask.
+    pub unasked: f64,
+    pub seen: Millis,
+}
+
+/// What a keeper holds for a customer.
+#[derive(Debug)]
+pub struct Account {
+    pub plan: usize,
+    /// Share of the ceiling that this keeper owns.
+    pub part: f64,
+    pub store: Store,
+    pub ceiling: Store,
+    /// Units granted under the ceiling that a member may still spend.
+    pub lent: f64,
+    /// Requests granted and not yet done.
+    pub open: u32,
+    pub demand: Fading,
+    /// Units granted.
+    pub let_in: Fading,
+    pub seen: Millis,
+}
+
+/// A member's request at its keeper: position and start of the member, number of the request.
+pub type GrantKey = (u32, u32, RequestId);
+
+/// What a keeper answered, kept for repeats and for the end of the request.
+#[derive(Debug)]
+pub struct Grant {
+    pub customer: CustomerId,
+    pub at: Millis,
+    pub units: f64,
+    pub granted: bool,
+    /// Counts against the depth of the ceiling.
+    pub lent: bool,
+    /// Counts as out.
+    pub open: bool,
+    pub done: bool,
+}
+
+/// A keeper that left an ask unanswered.
+#[derive(Debug, Clone, Copy)]
+pub struct Missed {
+    pub misses: u32,
+    pub at: Millis,
+}
+
+#[derive(Debug)]
+pub struct Server {
+    pub entry: ServerEntry,
+    /// Attempts of this limiter out there.
+    pub out: u32,
+    pub latency: f64,
+    pub errors: f64,
+    pub silences: u32,
+    /// Set aside until then; `aside_for` is how long the last time was.
+    pub aside_until: Millis,
+    pub aside_for: Millis,
+    /// Why, until the log has told.
+    pub aside_why: Option<&'static str>,
+    pub full_until: Millis,
+    pub last_answer: Millis,
+    /// It counts as cold from this moment on.
+    pub cold_from: Option<Millis>,
+    pub cold: Store,
+    /// Answers of the last seconds: how far its own figures are to be trusted.
+    pub heard: Fading,
+}
+
+#[derive(Debug)]
+pub struct Open {
+    pub request: Request,
+    pub arrived: Millis,
+    /// Keepers passed over so far, and asks to the present one.
+    pub rank: u32,
+    pub asks: u32,
+    /// Waiting for a keeper's word since then.
+    pub asked: Option<(u32, Millis)>,
+    /// The keeper that granted the units.
+    pub keeper: Option<u32>,
+    /// When the quota let it in.
+    pub let_in: Millis,
+    pub true_units: Option<f64>,
+    pub deadline: Millis,
+    pub attempts: u32,
+    /// The earliest attempt that may have run: when it was sent, zone and cell of its server.
+    pub may_have_run: Option<(Millis, u32, u32)>,
+    pub out: bool,
+    pub held: bool,
+    pub streaming: bool,
+    /// Server of the last attempt, avoided by the next.
+    pub last: Option<ServerId>,
+}
+
+impl Open {
+    pub fn new(request: Request, now: Millis, deadline: Millis) -> Self {
+        Open {
+            request,
+            arrived: now,
+            rank: 0,
+            asks: 0,
+            asked: None,
+            keeper: None,
+            let_in: now,
+            true_units: None,
+            deadline,
+            attempts: 0,
+            may_have_run: None,
+            out: false,
+            held: false,
+            streaming: false,
+            last: None,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Attempt {
+    pub server: ServerId,
+    pub sent: Millis,
+    pub slots: f64,
+    pub class: usize,
+    pub cancelled: bool,
+}
+
+impl Server {
+    /// A line for the staff when the server has been set aside.
+    pub fn watch(&mut self, id: &ServerId) -> Option<String> {
+        let why = self.aside_why.take()?;
+        Some(format!("server {id} {why}, set aside for {} ms", self.aside_for))
+    }
+
+    /// `span` is the time over which its answers are counted.
+    pub fn new(entry: ServerEntry, now: Millis, span: Millis) -> Self {
+        Server {
+            entry,
+            out: 0,
+            latency: 0.0,
+            errors: 0.0,
+            silences: 0,
+            aside_until: f64::NEG_INFINITY,
+            aside_for: 0.0,
+            aside_why: None,
+            full_until: f64::NEG_INFINITY,
+            last_answer: f64::NEG_INFINITY,
+            cold_from: None,
+            cold: Store { level: 1.0, at: now },
+            heard: Fading::new(now, span),
+        }
+    }
+}
+
+/// The token of a wake-up: a request and, in the three low bits, a kind.
+pub fn token(id: RequestId, kind: u64) -> u64 {
+    u64::from(id) << 3 | kind
+}
+
+/// Kinds of wake-up, kept in the low bits of a token, the request above them.
+pub const WAKE_STEP: u64 = 0;
+pub const WAKE_DEADLINE: u64 = 1;
+pub const WAKE_AIM: u64 = 2;
+pub const WAKE_CHECK: u64 = 3;
+pub const WAKE_WORD: u64 = 4;
+pub const WAKE_MAIL: u64 = 5;
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,167 @@
+//! The five rules, each kept by one limiter alone.
+
+mod common;
+use common::*;
+use fawnhill::*;
+
+#[test]
+fn a_request_without_any_server_is_refused_before_the_client_leaves() {
+    let mut rig = Rig::new(settings(0), 0);
+    assert!(rig.ask(request(1, SAFE, FREE)).is_empty(), "held at first");
+    assert!(refused(&rig.pass(2999.0)));
+}
+
+#[test]
+fn an_attempt_out_at_the_deadline_ends_in_one_answer_in_time() {
+    let mut s = settings(0);
+    s.classes[UNSAFE].late_worth = 0.2;
+    let mut rig = Rig::new(s, 3);
+    assert_eq!(sent(&rig.ask(request(1, UNSAFE, FREE))).len(), 1);
+    assert!(!failed(&rig.pass(2900.0)), "a late answer still earns something");
+    let end = rig.pass(98.0);
+    assert!(failed(&end) && !refused(&end), "it may have run: no promise");
+    assert!(rig.pass(5000.0).iter().all(|a| matches!(a, Action::Tell { .. })), "nothing after the end");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Severed, Outcome::Cancelled] {
+        let mut rig = Rig::new(settings(0), 3);
+        rig.ask(request(1, UNSAFE, FREE));
+        let after = rig.ended(1, 0, outcome, 5.0);
+        assert!(failed(&after) && sent(&after).is_empty(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_proved_never_to_have_run_goes_elsewhere() {
+    for outcome in [Outcome::Full, Outcome::NoConnection] {
+        let mut rig = Rig::new(settings(0), 3);
+        let first = sent(&rig.ask(request(1, UNSAFE, FREE)));
+        let second = sent(&rig.ended(1, 0, outcome, 5.0));
+        assert_eq!(second.len(), 1, "{outcome:?}");
+        assert_ne!(first, second);
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let mut s = settings(0);
+    s.classes[KEYED].window_ms = 300.0;
+    let mut rig = Rig::new(s.clone(), 3);
+    rig.ask(request(1, KEYED, FREE));
+    rig.pass(200.0);
+    assert_eq!(sent(&rig.ended(1, 0, Outcome::Error, 200.0)).len(), 1, "inside the window");
+    let mut rig = Rig::new(s, 3);
+    rig.ask(request(1, KEYED, FREE));
+    rig.pass(310.0);
+    let after = rig.ended(1, 0, Outcome::Error, 310.0);
+    assert!(sent(&after).is_empty() && failed(&after));
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_zone() {
+    let mut s = settings(0);
+    s.classes[KEYED].group = KeyGroup::Zone;
+    let mut rig = Rig::new(s, 0);
+    let other = ServerEntry { zone: 1, ..entry(2) };
+    rig.list(true, vec![entry(1), other]);
+    let first = sent(&rig.ask(request(1, KEYED, FREE)));
+    let again = sent(&rig.ended(1, 0, Outcome::Error, 5.0));
+    assert_eq!(first, again, "only the server of the same zone drops the repeat");
+}
+
+#[test]
+fn attempts_stop_at_the_limit() {
+    let mut rig = Rig::new(settings(0), 5);
+    rig.ask(request(1, SAFE, FREE));
+    assert_eq!(sent(&rig.ended(1, 0, Outcome::Error, 5.0)).len(), 1);
+    assert_eq!(sent(&rig.ended(1, 1, Outcome::Error, 5.0)).len(), 1);
+    assert!(refused(&rig.ended(1, 2, Outcome::Error, 5.0)));
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_gone_server() {
+    for condition in [Condition::Draining, Condition::Gone] {
+        let mut rig = Rig::new(settings(0), 2);
+        rig.list(false, vec![ServerEntry { condition, ..entry(0) }]);
+        for id in 0..50 {
+            assert!(sent(&rig.ask(request(id, SAFE, FREE))).iter().all(|s| *s == server(1)));
+        }
+    }
+}
+
+#[test]
+fn a_server_missing_from_a_whole_list_is_gone() {
+    let mut rig = Rig::new(settings(0), 2);
+    rig.list(true, vec![entry(1)]);
+    for id in 0..50 {
+        assert!(sent(&rig.ask(request(id, SAFE, FREE))).iter().all(|s| *s == server(1)));
+    }
+}
+
+#[test]
+fn a_cold_server_gets_its_part_only() {
+    let mut rig = Rig::new(settings(0), 3);
+    rig.list(false, vec![ServerEntry { started: rig.now, ..entry(9) }]);
+    let mut cold = 0;
+    for id in 0..200 {
+        let to = sent(&rig.ask(request(id, SAFE, FREE)));
+        cold += to.iter().filter(|s| **s == server(9)).count();
+        rig.pass(10.0);
+        rig.ended(id, 0, Outcome::Ok, 10.0);
+    }
+    // 100 a second over four servers for 2 s: an even share would be 50, a fifth to two fifths of it is right.
+    assert!((1..=20).contains(&cold), "{cold}");
+}
+
+#[test]
+fn a_ceiling_is_spent_by_the_even_part_only() {
+    let mut rig = Rig::new(settings(0), 5);
+    rig.pass(60_000.0);
+    let mut units = 0.0;
+    for id in 0..500 {
+        let r = Request { units: 2.0, ..request(id, SAFE, CEILED) };
+        units += 2.0 * sent(&rig.ask(r)).len() as f64;
+        rig.ended(id, 0, Outcome::Ok, 5.0);
+    }
+    // A third of 60 units and of 3 units of slack.
+    assert!(units <= 21.0, "{units}");
+}
+
+#[test]
+fn a_fresh_limiter_owns_no_full_part_of_a_ceiling() {
+    let mut rig = Rig::new(settings(0), 5);
+    let mut units = 0.0;
+    for id in 0..100 {
+        units += sent(&rig.ask(request(id, SAFE, CEILED))).len() as f64;
+    }
+    assert!(units <= 1.0, "{units}");
+    rig.pass(1000.0);
+    for id in 100..200 {
+        units += sent(&rig.ask(request(id, SAFE, CEILED))).len() as f64;
+    }
+    assert!((1.0..=5.0).contains(&units), "4 units a second: {units}");
+}
+
+#[test]
+fn a_held_repeat_of_a_keyed_request_ends_when_its_window_is_over() {
+    let mut s = settings(0);
+    s.classes[KEYED].window_ms = 200.0;
+    let mut rig = Rig::new(s, 1);
+    rig.ask(request(1, KEYED, FREE));
+    rig.list(true, vec![]);
+    assert!(rig.ended(1, 0, Outcome::Error, 5.0).is_empty(), "held: no server is left");
+    let mut after = rig.pass(150.0);
+    rig.now += 100.0;
+    after.extend(rig.list(true, vec![entry(2)]));
+    assert!(sent(&after).is_empty() && failed(&after));
+}
+
+#[test]
+fn a_second_outcome_of_an_attempt_changes_nothing() {
+    let mut rig = Rig::new(settings(0), 3);
+    rig.ask(request(1, SAFE, FREE));
+    assert_eq!(sent(&rig.ended(1, 0, Outcome::Error, 5.0)).len(), 1);
+    assert!(rig.ended(1, 0, Outcome::Error, 5.0).is_empty(), "attempt 1 is still out");
+}
--- /dev/null
+++ b/wirehost/src/main.rs
@@ -0,0 +1,146 @@
+//! Hosts instances of the decision module on the bench's wire: one JSON batch in, one JSON reply out.
+#![forbid(unsafe_code)]
+
+mod wire;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use fawnhill::interface::{Action, Event, ServerEntry};
+use fawnhill::Limiter;
+use wire::{Batch, Element, In, Names, Out, Reply, Scope};
+
+struct Instance {
+    id: Arc<str>,
+    names: Names,
+    limiter: Limiter,
+}
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<String, Instance>,
+    pages: BTreeMap<u32, Vec<Element>>,
+    actions: Vec<Action>,
+}
+
+impl Host {
+    fn batch(&mut self, batch: Batch) -> Result<Reply, String> {
+        let mut steps = Vec::new();
+        for (i, event) in batch.events.into_iter().enumerate() {
+            self.event(batch.moment_ms, event, &mut steps).map_err(|e| format!("event {i}: {e}"))?;
+        }
+        Ok(Reply { turn: batch.turn, steps })
+    }
+
+    fn event(&mut self, now: f64, event: In, steps: &mut Vec<Out>) -> Result<(), String> {
+        let (id, event) = match event {
+            In::NewInstance { limiter_id, seed, setup } => return self.start(now, limiter_id, seed, *setup),
+            In::Down { limiter_id } => {
+                let gone = self.instances.remove(&limiter_id);
+                return gone.map(|_| ()).ok_or_else(|| unknown(&limiter_id));
+            }
+            In::Census { page, elements } => {
+                self.pages.insert(page, elements);
+                return Ok(());
+            }
+            In::BackendsChanged { limiter_id, scope, page } => {
+                let event = self.servers(&limiter_id, scope, page)?;
+                (limiter_id, event)
+            }
+            In::WorkItem(w) => {
+                let request = self.named(&w.limiter_id)?.names.request(&w)?;
+                (w.limiter_id, Event::Request(request))
+            }
+            In::Streaming { limiter_id, ticket } => (limiter_id, Event::Streaming { id: ticket }),
+            In::AttemptEnd(a) => {
+                let event = Event::AttemptEnded {
+                    id: a.ticket,
+                    attempt: a.trial,
+                    outcome: a.outcome.outcome(),
+                    took_ms: a.duration_ms,
+                    settled: a.no_more,
+                    units: a.actual.filter(|u| *u > 0.0),
+                    load: wire::load(a.telemetry),
+                };
+                (a.limiter_id, event)
+            }
+            In::ClientGone { limiter_id, ticket } => (limiter_id, Event::ClientGone { id: ticket }),
+            In::TimeoutFired { limiter_id, key_back } => (limiter_id, Event::Wake { token: key_back }),
+            In::StatusBack { limiter_id, server, outcome, telemetry } => {
+                let event = Event::Probed {
+                    server: Arc::from(server),
+                    outcome: outcome.outcome(),
+                    load: wire::load(telemetry),
+                };
+                (limiter_id, event)
+            }
+            In::Heard { limiter_id, who, body } => {
+                (limiter_id, Event::Heard { from: who, body: wire::from_hex(&body)? })
+            }
+            In::Total { limiter_id, entry_name, outcome, sum } => {
+                let total = sum.unwrap_or_default();
+                (limiter_id, Event::Counted { name: entry_name, outcome: outcome.outcome(), total })
+            }
+        };
+        let Host { instances, actions, .. } = self;
+        let instance = instances.get_mut(&id).ok_or_else(|| unknown(&id))?;
+        instance.limiter.handle(now, event, actions);
+        steps.extend(actions.drain(..).map(|a| wire::action(instance.id.clone(), a)));
+        Ok(())
+    }
+
+    fn start(&mut self, now: f64, id: String, seed: u64, setup: wire::Setup) -> Result<(), String> {
+        let (settings, names) = wire::settings(setup)?;
+        let limiter = Limiter::new(settings, seed, now)?;
+        let instance = Instance { id: Arc::from(id.as_str()), names, limiter };
+        self.instances.insert(id, instance);
+        Ok(())
+    }
+
+    fn named(&self, id: &str) -> Result<&Instance, String> {
+        self.instances.get(id).ok_or_else(|| unknown(id))
+    }
+
+    fn servers(&self, id: &str, scope: Scope, page: Option<u32>) -> Result<Event, String> {
+        let instance = self.named(id)?;
+        if scope == Scope::Failed {
+            return Ok(Event::ListFailed);
+        }
+        let page = page.ok_or("BACKENDS_CHANGED without Page")?;
+        let lines = self.pages.get(&page).ok_or_else(|| format!("no CENSUS of page {page}"))?;
+        let entries: Result<Arc<[ServerEntry]>, String> =
+            lines.iter().map(|e| wire::entry(e, &instance.names)).collect();
+        Ok(Event::Servers { whole: scope != Scope::Delta, entries: entries? })
+    }
+}
+
+fn unknown(id: &str) -> String {
+    format!("unknown instance '{id}'")
+}
+
+fn run() -> Result<(), String> {
+    let mut host = Host::default();
+    let mut out = std::io::stdout().lock();
+    for (number, line) in std::io::stdin().lock().lines().enumerate() {
+        let at = |e: String| format!("line {}: {e}", number + 1);
+        let line = line.map_err(|e| at(e.to_string()))?;
+        let batch: Batch = serde_json::from_str(&line).map_err(|e| at(e.to_string()))?;
+        let reply = host.batch(batch).map_err(at)?;
+        let mut text = serde_json::to_vec(&reply).map_err(|e| at(e.to_string()))?;
+        text.push(b'\n');
+        out.write_all(&text).and_then(|()| out.flush()).map_err(|e| at(e.to_string()))?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("fawnhill-wirehost: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
