--- /dev/null
+++ b/marldeal/src/clients.rs
@@ -0,0 +1,304 @@
+//! The HTTP server towards clients.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fawnhill::{Effect, Request, RequestId};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
+
+use crate::driver::{Answer, Content, Driver};
+
+/// Names the request.
+pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
+/// Marks repeats of one effect.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Seconds that the sender will wait.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+const PLAN: HeaderName = HeaderName::from_static("x-tariff");
+const WEIGHT: HeaderName = HeaderName::from_static("x-weight");
+
+/// Longest body taken in, of a request or an answer.
+pub const MOST_BODY: usize = 64 << 10;
+/// Longest head of a request.
+const MOST_HEAD: usize = 16 << 10;
+/// A client that has sent a part of a request and then nothing is cut off; so is one that stays idle.
+const HEAD_TIME: Duration = Duration::from_secs(60);
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// The longest time left that makes sense, in seconds.
+const MOST_TIME_LEFT: f64 = 3600.0;
+/// After SIGTERM: new connections keep coming for so long at least, and one that asks nothing is closed.
+const DRAIN_ACCEPT: Duration = Duration::from_millis(800);
+const DRAIN_IDLE: Duration = Duration::from_millis(700);
+/// After SIGTERM: nothing is waited for any longer than this.
+const DRAIN_MOST: Duration = Duration::from_secs(20);
+
+/// One client connection, as the others see it.
+struct Client {
+    /// A request of it is being taken in or answered.
+    busy: Cell<bool>,
+    used: Cell<Instant>,
+    close: Notify,
+}
+
+/// The open client connections, by number.
+#[derive(Default)]
+struct Clients {
+    all: RefCell<BTreeMap<u64, Rc<Client>>>,
+    closed: Notify,
+}
+
+impl Clients {
+    /// Asks the connection that has been idle for longest to close; false if all are busy.
+    fn evict(&self) -> bool {
+        let all = self.all.borrow();
+        let oldest = all.values().filter(|c| !c.busy.get()).min_by_key(|c| c.used.get());
+        oldest.map(|c| c.close.notify_one()).is_some()
+    }
+}
+
+/// Accepts and serves until `stop`, then finishes what was taken and returns.
+pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
+    let clients = Rc::new(Clients::default());
+    let mut number = 0u64;
+    tokio::pin!(stop);
+    let mut stopped: Option<Instant> = None;
+    loop {
+        let room = clients.all.borrow().len() < driver.config.most_clients;
+        if !room {
+            clients.evict();
+        }
+        if let Some(at) = stopped {
+            let idle = clients.all.borrow().is_empty();
+            if (idle && at.elapsed() >= DRAIN_ACCEPT) || at.elapsed() >= DRAIN_MOST {
+                return;
+            }
+        }
+        tokio::select! {
+            accepted = listener.accept(), if room => match accepted {
+                Ok((stream, _)) => {
+                    number += 1;
+                    open(driver, &clients, number, stream);
+                }
+                // Out of descriptors, or the client has gone already: an idle connection makes way, and what
+                // waits to be accepted is taken a little later.
+                Err(e) => {
+                    driver.log(&format!("accept: {e}"));
+                    clients.evict();
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            },
+            why = &mut stop, if stopped.is_none() => {
+                driver.log(&format!("{why}: finishing"));
+                stopped = Some(Instant::now());
+                driver.draining.set(true);
+                for client in clients.all.borrow().values() {
+                    client.close.notify_one();
+                }
+            }
+            () = clients.closed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(50)), if stopped.is_some() => {}
+        }
+    }
+}
+
+fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let client =
+        Rc::new(Client { busy: Cell::new(false), used: Cell::new(Instant::now()), close: Notify::new() });
+    clients.all.borrow_mut().insert(number, client.clone());
+    let (driver, clients) = (driver.clone(), clients.clone());
+    tokio::task::spawn_local(async move {
+        connection(&driver, &client, stream).await;
+        clients.all.borrow_mut().remove(&number);
+        clients.closed.notify_one();
+    });
+}
+
+async fn connection(driver: &Rc<Driver>, client: &Rc<Client>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let (driver, client) = (driver.clone(), client.clone());
+        async move {
+            client.busy.set(true);
+            let mut answer = respond(&driver, request).await;
+            if driver.draining.get() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            client.busy.set(false);
+            client.used.set(Instant::now());
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let draining = driver.draining.get();
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(if draining { DRAIN_IDLE } else { HEAD_TIME })
+        .max_buf_size(MOST_HEAD)
+        .keep_alive(!draining)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(serving);
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            biased;
+            // An error here is the client's: it left, or sent what is no HTTP.
+            _ = &mut serving => return,
+            () = client.close.notified(), if !closing => {
+                closing = true;
+                serving.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Tells the module that a client has gone, when its connection ends before the answer.
+struct Waiting<'a> {
+    driver: &'a Rc<Driver>,
+    id: RequestId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.driver.client_gone(self.id);
+    }
+}
+
+async fn respond(driver: &Rc<Driver>, request: hyper::Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() == "/-/ready" {
+        let status = if driver.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        return plain(status, "");
+    }
+    let (head, body) = request.into_parts();
+    let read = match read(driver, &head) {
+        Ok(read) => read,
+        Err((status, why)) => return bad(status, why),
+    };
+    let body = match timeout(BODY_TIME, Limited::new(body, MOST_BODY).collect()).await {
+        Ok(Ok(whole)) => whole.to_bytes(),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        }
+        Ok(Err(_)) => return bad(StatusCode::BAD_REQUEST, "the body did not come whole"),
+        Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    };
+    if head.method == Method::GET && !body.is_empty() {
+        return bad(StatusCode::BAD_REQUEST, "a GET has no body");
+    }
+    let content = Content {
+        method: head.method,
+        target: read.target,
+        correlation: read.correlation,
+        key: read.key,
+        body,
+    };
+    let (id, answered) = driver.request(content, read.request);
+    let waiting = Waiting { driver, id };
+    let answer = answered.await;
+    drop(waiting);
+    match answer {
+        Ok(Answer::Served(body)) => Response::new(Full::new(body)),
+        Ok(Answer::Refused(retry_ms)) => {
+            let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
+            if retry_ms > 0.0 {
+                if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_ms / 1000.0)) {
+                    answer.headers_mut().insert(RETRY_AFTER, value);
+                }
+            }
+            answer
+        }
+        Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Answers what cannot be taken. Its body may be unread, so the connection ends.
+fn bad(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = plain(status, why);
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
+/// What a request's head says.
+struct Read {
+    request: Request,
+    target: hyper::Uri,
+    correlation: HeaderValue,
+    key: Option<HeaderValue>,
+}
+
+type Bad = (StatusCode, &'static str);
+
+/// Reads a head whole; what is malformed or unknown reaches neither the module nor a server.
+fn read(driver: &Driver, head: &hyper::http::request::Parts) -> Result<Read, Bad> {
+    let bad = |why| (StatusCode::BAD_REQUEST, why);
+    let names = &driver.config.names;
+    let settings = &driver.config.settings;
+    let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
+    let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
+        return Err((StatusCode::NOT_FOUND, "no such path"));
+    };
+    let class = names.class(class).ok_or_else(|| bad("unknown class"))?;
+    let customer = Some(customer)
+        .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
+        .and_then(|c| u64::from_str_radix(c, 16).ok())
+        .filter(|c| *c < 1 << 33)
+        .ok_or_else(|| bad("the customer is not 16 hex digits below 2^33"))?;
+    let effect = settings.classes.get(class).map_or(Effect::Unsafe, |c| c.effect);
+    if head.method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
+        return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
+    }
+    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+    let plan = text(&PLAN).and_then(|p| names.plan(p)).ok_or_else(|| bad("no known X-Tariff"))?;
+    let left_s = text(&TIME_LEFT)
+        .and_then(|t| t.parse::<f64>().ok())
+        .filter(|t| (0.0..=MOST_TIME_LEFT).contains(t))
+        .ok_or_else(|| bad("no good X-Time-Left"))?;
+    let (units, spread, first) =
+        text(&WEIGHT).and_then(|w| weight(w, settings.limiters)).ok_or_else(|| bad("no good X-Weight"))?;
+    let correlation = full(&head.headers, &CORRELATION).ok_or_else(|| bad("no X-Correlation-Id"))?;
+    let key = full(&head.headers, &KEY);
+    if effect == Effect::Keyed && key.is_none() {
+        return Err(bad("no Idempotency-Key"));
+    }
+    let target = head.uri.path_and_query().ok_or_else(|| bad("no path"))?.clone().into();
+    let request = Request { id: 0, class, plan, customer, budget_ms: left_s * 1000.0, units, spread, first };
+    Ok(Read { request, target, correlation, key })
+}
+
+fn full(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
+    headers.get(name).filter(|v| !v.is_empty()).cloned()
+}
+
+/// `units=2,spread=3,first=1`, in any order; other names are passed over.
+fn weight(text: &str, limiters: u32) -> Option<(f64, u32, u32)> {
+    let (mut units, mut spread, mut first) = (None, None, None);
+    for pair in text.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        match name.trim() {
+            "units" => units = value.trim().parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= 1e6),
+            "spread" => spread = value.trim().parse::<u32>().ok().filter(|s| (1..=limiters).contains(s)),
+            "first" => first = value.trim().parse::<u32>().ok().filter(|f| *f < limiters),
+            _ => {}
+        }
+    }
+    Some((units?, spread?, first?))
+}
--- /dev/null
+++ b/marldeal/src/config.rs
@@ -0,0 +1,126 @@
+//! What the limiter is told at its start: the JSON file of `ROUTER_CONFIG`, with the single variables above it.
+
+use std::net::SocketAddr;
+
+use fawnhill::Settings;
+use fawnhill_wirehost::wire::{self, Names, Setup};
+use serde::Deserialize;
+
+use crate::discovery::List;
+
+/// The configuration as the platform writes it.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<List>,
+    settings: Setup,
+}
+
+/// The platform's limits that bear on what is kept open. Memory follows from them: buffers are bounded.
+#[derive(Deserialize, Clone, Copy)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+    memory_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024, memory_mb: 192.0 }
+    }
+}
+
+/// The configuration in the program's terms.
+pub struct Config {
+    /// This limiter's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most client connections held.
+    pub most_clients: usize,
+    /// Most connections to servers held.
+    pub most_servers: usize,
+    /// Where peers' datagrams arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// Peers by their position, this limiter among them.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches every peer.
+    pub peers_all: Option<SocketAddr>,
+    /// The list of servers as it was last known; may be old.
+    pub known: Option<List>,
+    /// Milliseconds after which an idle connection to a server is dropped.
+    pub idle_ms: f64,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of classes, plans and zones.
+    pub names: Names,
+}
+
+/// Share of a server's idle time after which this side drops a connection: a request written to one that the
+/// server closes at that moment would be lost as a reset.
+const IDLE_PART: f64 = 0.5;
+/// A server's idle time where the settings name none.
+const IDLE_MS: f64 = 10_000.0;
+/// Memory that one connection may hold at most, for the bound on their number.
+const CONNECTION_MB: f64 = 0.15;
+
+impl Config {
+    /// Reads the environment. The error is one plain line.
+    pub fn from_environment() -> Result<Config, String> {
+        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let pick = |own: Option<String>, name: &str| {
+            var(name).or(own).ok_or_else(|| format!("neither {name} nor {path} names it"))
+        };
+        let address = |text: String, name: &str| {
+            text.parse::<SocketAddr>().map_err(|_| format!("{name} '{text}' is not an address and port"))
+        };
+        let name = pick(file.name, "ROUTER_NAME")?;
+        let listen = address(pick(file.listen, "ROUTER_LISTEN")?, "ROUTER_LISTEN")?;
+        let discovery = address(pick(file.discovery, "ROUTER_DISCOVERY")?, "ROUTER_DISCOVERY")?;
+        let seed = match file.seed {
+            Some(hex) => u64::from_str_radix(&hex, 16).map_err(|_| format!("seed '{hex}' is not hex"))?,
+            None => u64::from(std::process::id()),
+        };
+        let server_idle = file.settings.bounds.idle_close_ms.unwrap_or(IDLE_MS);
+        if !server_idle.is_finite() || server_idle < 0.0 {
+            return Err(format!("IdleCloseMs {server_idle} is not a time"));
+        }
+        let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
+        let by_memory = file.limits.memory_mb / CONNECTION_MB;
+        let all = file.limits.sockets.min(by_memory.max(0.0) as usize);
+        if all < 64 {
+            return Err(format!("limits leave room for {all} connections, 64 at least are needed"));
+        }
+        Ok(Config {
+            name,
+            listen,
+            discovery,
+            seed,
+            most_clients: all / 2,
+            most_servers: all / 3,
+            peer_listen: file.peer_listen,
+            peers: file.peers,
+            peers_all: file.peers_all,
+            known: file.known,
+            idle_ms: server_idle * IDLE_PART,
+            settings,
+            names,
+        })
+    }
+}
--- /dev/null
+++ b/marldeal/src/discovery.rs
@@ -0,0 +1,181 @@
+//! The watch on the list of servers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use fawnhill::{Condition, ServerEntry};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::driver::Driver;
+
+/// Beats come every 2 s; after two missed ones the watch counts as broken.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// Shortest and longest wait before the next watch.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
+/// Longest line taken in.
+const MOST_LINE: usize = 4 << 20;
+
+/// A list of servers or of changes to it.
+#[derive(Deserialize, Clone)]
+pub struct List {
+    version: u64,
+    #[serde(default)]
+    full: bool,
+    servers: Vec<Line>,
+}
+
+impl List {
+    /// Counts as the whole list, as what a start finds does.
+    pub fn set_whole(&mut self) {
+        self.full = true;
+    }
+}
+
+/// One server of a list.
+#[derive(Deserialize, Clone)]
+struct Line {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    state: String,
+    weight: Option<f64>,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+/// A list in the module's terms, with the servers' addresses.
+pub struct News {
+    /// All servers, not only changes.
+    pub whole: bool,
+    /// The servers and where they listen.
+    pub entries: Vec<(ServerEntry, SocketAddr)>,
+}
+
+/// A list in the module's terms. The module's clock counts Unix time, so that starts need no conversion.
+pub fn news(list: List, driver: &Driver) -> News {
+    let entry = |line: Line| {
+        let entry = ServerEntry {
+            server: line.id.into(),
+            // A zone that the settings do not name is no limiter's own.
+            zone: driver.config.names.zone(&line.zone).unwrap_or(u32::MAX),
+            cell: line.cell,
+            condition: match line.state.as_str() {
+                "active" => Condition::Serving,
+                "left" => Condition::Gone,
+                _ => Condition::Draining,
+            },
+            weight: line.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
+            started: line.started_ms,
+        };
+        (entry, line.addr)
+    };
+    News { whole: list.full, entries: list.servers.into_iter().map(entry).collect() }
+}
+
+/// Watches for ever; a watch that ends, breaks or falls silent is begun anew from the last version.
+pub async fn watch(driver: Rc<Driver>) {
+    let mut version = driver.config.known.as_ref().map(|known| known.version);
+    let mut wait = BACK_OFF.0;
+    loop {
+        let before = version;
+        let why = follow(&driver, &mut version).await;
+        if version == before {
+            wait = (wait * 2).min(BACK_OFF.1);
+        } else {
+            wait = BACK_OFF.0;
+        }
+        driver.log(&format!("discovery: {why}; watching again"));
+        tokio::select! {
+            () = tokio::time::sleep(wait) => {}
+            () = driver.list_wanted.notified() => {}
+        }
+        if driver.take_whole_wanted() {
+            version = None;
+        }
+    }
+}
+
+/// One watch, until it ends; says why.
+async fn follow(driver: &Rc<Driver>, version: &mut Option<u64>) -> String {
+    let connect = async {
+        let stream = TcpStream::connect(driver.config.discovery).await.map_err(|e| e.to_string())?;
+        let (mut sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        let task = Abort(tokio::task::spawn_local(async move { drop(connection.await) }));
+        let path = match *version {
+            Some(v) => format!("/api/targets?watch=1&after={v}"),
+            None => "/api/targets?watch=1".to_string(),
+        };
+        let request = hyper::Request::get(path)
+            .header("host", driver.config.discovery.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|e| e.to_string())?;
+        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        if answer.status() != hyper::StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        Ok((task, answer.into_body()))
+    };
+    match timeout(SILENCE, connect).await {
+        Ok(Ok((_task, body))) => read(driver, body, version).await,
+        Ok(Err(why)) => why,
+        Err(_) => "no answer".to_string(),
+    }
+}
+
+struct Abort(tokio::task::JoinHandle<()>);
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn read(driver: &Rc<Driver>, mut body: Incoming, version: &mut Option<u64>) -> String {
+    let mut buffer = BytesMut::new();
+    loop {
+        let frame = tokio::select! {
+            frame = timeout(SILENCE, body.frame()) => frame,
+            () = driver.list_wanted.notified() => return "asked for anew".to_string(),
+        };
+        let frame = match frame {
+            Err(_) => return "silent".to_string(),
+            Ok(None) => return "ended".to_string(),
+            Ok(Some(Err(e))) => return e.to_string(),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Some(data) = frame.data_ref() else { continue };
+        // A chunk may end within a line: what is left waits for the rest.
+        let mut from = buffer.len();
+        buffer.extend_from_slice(data);
+        while let Some(end) = buffer[from..].iter().position(|b| *b == b'\n') {
+            let line = buffer.split_to(from + end + 1);
+            from = 0;
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            match serde_json::from_slice::<List>(&line) {
+                Ok(list) => {
+                    *version = Some(list.version);
+                    driver.servers(news(list, driver));
+                }
+                // What the line held is missing from now on: the watch begins anew where it was still whole.
+                Err(e) => return format!("bad line: {e}"),
+            }
+        }
+        if buffer.len() > MOST_LINE {
+            return "line too long".to_string();
+        }
+    }
+}
--- /dev/null
+++ b/marldeal/src/main.rs
@@ -0,0 +1,64 @@
+//! The real limiter: one program that puts the decisions of `fawnhill` on sockets. Start, signals, exit.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clients;
+mod config;
+mod discovery;
+mod driver;
+mod peers;
+mod servers;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+
+use config::Config;
+use driver::Driver;
+
+fn main() -> ExitCode {
+    let done = Config::from_environment().and_then(|config| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+    });
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("marldeal: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves until SIGTERM or SIGINT, then finishes what was taken.
+async fn run(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let listener = TcpListener::bind(config.listen)
+        .await
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let mail = match config.peer_listen {
+        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
+        None => None,
+    };
+    let driver = Driver::new(config, mail.clone())?;
+    eprintln!("{} serves on {}", driver.config.name, driver.config.listen);
+    if let Some(mail) = mail {
+        tokio::task::spawn_local(peers::listen(driver.clone(), mail));
+    }
+    tokio::task::spawn_local(driver.clone().run_timers());
+    tokio::task::spawn_local(servers::sweep(driver.clone()));
+    tokio::task::spawn_local(discovery::watch(driver.clone()));
+    let stop = async move {
+        tokio::select! {
+            _ = term.recv() => "SIGTERM",
+            _ = int.recv() => "SIGINT",
+        }
+    };
+    clients::serve(&driver, listener, stop).await;
+    eprintln!("{} stops", driver.config.name);
+    Ok(())
+}
--- /dev/null
+++ b/marldeal/src/servers.rs
@@ -0,0 +1,243 @@
+//! Attempts at servers and the pool of their connections.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use fawnhill::{Outcome, RequestId, ServerId};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::HeaderName;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::clients::{CORRELATION, KEY, MOST_BODY, TIME_LEFT};
+use crate::driver::{Content, Driver};
+
+const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+
+/// One attempt.
+pub struct Job {
+    /// Which request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: u32,
+    /// Where to.
+    pub server: ServerId,
+    /// What.
+    pub content: Rc<Content>,
+    /// When it is given up, in the module's milliseconds.
+    pub end: f64,
+}
+
+/// A connection and what drives it. Nothing else does: dropping it closes the socket.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    _room: Room,
+}
+
+/// A place among the connections that may be open; free again when it is dropped.
+struct Room(Rc<Cell<usize>>);
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+}
+
+/// Idle connections by address, and a bound on all that are open.
+pub struct Pool {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+    idle_for: Duration,
+    /// All open ones, idle or not.
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Pool {
+    /// Holds at most `most` connections; drops what has been idle for `idle_ms`.
+    pub fn new(most: usize, idle_ms: f64) -> Pool {
+        let idle_for = Duration::from_secs_f64(idle_ms / 1000.0);
+        Pool { idle: HashMap::new(), idle_for, open: Rc::default(), most }
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn drop_idle(&mut self, addr: SocketAddr) {
+        self.idle.remove(&addr);
+    }
+
+    /// Closes what has been idle for long.
+    pub fn sweep(&mut self) {
+        let idle_for = self.idle_for;
+        self.idle.retain(|_, links| {
+            links.retain(|l| l.since.elapsed() < idle_for);
+            !links.is_empty()
+        });
+    }
+
+    /// The connection used last that is still good. One that the server has closed, or has written to
+    /// unasked, is dropped here, before use: a request written to it would end as a reset.
+    fn take(&mut self, addr: SocketAddr) -> Option<Link> {
+        let links = self.idle.get_mut(&addr)?;
+        while let Some(Idle { mut link, since }) = links.pop() {
+            if since.elapsed() < self.idle_for && link.alive() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Room for one more connection; the one idle for longest makes way.
+    fn reserve(&mut self) -> Option<Room> {
+        if self.open.get() >= self.most {
+            let oldest = self.idle.iter().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| l[0].since);
+            let addr = oldest.map(|(addr, _)| *addr)?;
+            self.idle.get_mut(&addr)?.remove(0);
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Room(self.open.clone()))
+    }
+
+    fn put(&mut self, addr: SocketAddr, link: Link) {
+        self.idle.entry(addr).or_default().push(Idle { link, since: Instant::now() });
+    }
+}
+
+impl Link {
+    /// Looks at the connection without waiting.
+    fn alive(&mut self) -> bool {
+        let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+        let ended = Pin::new(&mut self.connection).poll(&mut context).is_ready();
+        !ended && self.sender.is_ready()
+    }
+}
+
+/// Makes one attempt and reports its end. What is stopped closes its connection first: the `select` has
+/// dropped it when the module hears of the end, so that a request never has two attempts out.
+pub async fn attempt(driver: Rc<Driver>, job: Job, stopped: oneshot::Receiver<Outcome>) {
+    let (outcome, body) = tokio::select! {
+        biased;
+        Ok(how) = stopped => (how, None),
+        end = exchange(&driver, &job) => end,
+    };
+    driver.ended(job.id, job.attempt, outcome, body);
+}
+
+async fn exchange(driver: &Rc<Driver>, job: &Job) -> (Outcome, Option<Bytes>) {
+    let Some(addr) = driver.address(&job.server) else { return (Outcome::NotSent, None) };
+    let pooled = driver.pool.borrow_mut().take(addr);
+    let mut link = match pooled {
+        Some(link) => link,
+        None => match connect(driver, addr).await {
+            Ok(link) => link,
+            Err(outcome) => return (outcome, None),
+        },
+    };
+    // The wait for a connection may have outlived the server's readiness: nothing new goes to one that drains.
+    if driver.address(&job.server) != Some(addr) {
+        return (Outcome::NotSent, None);
+    }
+    let Ok(request) = request(job, addr, job.end - driver.now()) else { return (Outcome::NotSent, None) };
+    let Link { sender, connection, .. } = &mut link;
+    let answer = async {
+        let answer = match sender.try_send_request(request).await {
+            Ok(answer) => answer,
+            // A request that is given back was not written; of any other it is not known.
+            Err(mut e) => match e.take_message() {
+                Some(_) => return (Outcome::NoConnection, None),
+                None => return (Outcome::Severed, None),
+            },
+        };
+        let (head, mut body) = answer.into_parts();
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return (Outcome::Severed, None) };
+            if let Some(data) = frame.data_ref() {
+                if whole.len() + data.len() > MOST_BODY {
+                    return (Outcome::Severed, None);
+                }
+                whole.extend_from_slice(data);
+            }
+        }
+        let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
+        match head.status {
+            StatusCode::OK => (Outcome::Ok, Some(whole.freeze())),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
+                (Outcome::Full, None)
+            }
+            _ => (Outcome::Error, None),
+        }
+    };
+    let (outcome, body, mut ended) = drive(answer, connection).await;
+    // Only a connection whose answer was read to its end may serve again.
+    ended |= !matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+    if !ended && link.alive() {
+        driver.pool.borrow_mut().put(addr, link);
+    }
+    (outcome, body)
+}
+
+/// Waits for the answer while the connection works; tells also whether that has ended.
+async fn drive(
+    answer: impl Future<Output = (Outcome, Option<Bytes>)>,
+    connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
+) -> (Outcome, Option<Bytes>, bool) {
+    tokio::pin!(answer);
+    let mut ended = false;
+    loop {
+        tokio::select! {
+            biased;
+            (outcome, body) = &mut answer => return (outcome, body, ended),
+            _ = &mut *connection, if !ended => ended = true,
+        }
+    }
+}
+
+async fn connect(driver: &Rc<Driver>, addr: SocketAddr) -> Result<Link, Outcome> {
+    let room = driver.pool.borrow_mut().reserve().ok_or(Outcome::NotSent)?;
+    let limit = Duration::from_secs_f64(driver.config.settings.connect_timeout_ms.max(1.0) / 1000.0);
+    let stream = match timeout(limit, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
+    };
+    let _ = stream.set_nodelay(true);
+    let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
+    Ok(Link { sender, connection, _room: room })
+}
+
+fn request(job: &Job, addr: SocketAddr, left_ms: f64) -> hyper::http::Result<Request<Full<Bytes>>> {
+    let content = &job.content;
+    let mut request = Request::builder()
+        .method(content.method.clone())
+        .uri(content.target.clone())
+        .header(hyper::header::HOST, addr.to_string())
+        .header(CORRELATION, content.correlation.clone())
+        .header(TIME_LEFT, format!("{:.3}", (left_ms / 1000.0).max(0.001)));
+    if let Some(key) = &content.key {
+        request = request.header(KEY, key.clone());
+    }
+    request.body(Full::new(content.body.clone()))
+}
+
+/// Drops idle connections in time.
+pub async fn sweep(driver: Rc<Driver>) {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        driver.pool.borrow_mut().sweep();
+    }
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -1,8 +1,6 @@
 //! Hosts instances of the decision module on the bench's wire: one JSON batch in, one JSON reply out.
 #![forbid(unsafe_code)]
 
-mod wire;
-
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
@@ -10,7 +8,7 @@
 
 use fawnhill::interface::{Action, Event, ServerEntry};
 use fawnhill::Limiter;
-use wire::{Batch, Element, In, Names, Out, Reply, Scope};
+use fawnhill_wirehost::wire::{self, Batch, Element, In, Names, Out, Reply, Scope};
 
 struct Instance {
     id: Arc<str>,
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -229,6 +229,8 @@
     pub cancelling: bool,
     #[serde(default)]
     pub retry_after: bool,
+    /// A server closes a connection that has stood idle for so long; absent on sites without connections.
+    pub idle_close_ms: Option<f64>,
 }
 
 /// Figures of the rules.
@@ -286,6 +288,16 @@
 }
 
 impl Names {
+    /// The index of a class.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied()
+    }
+
+    /// The index of a plan.
+    pub fn plan(&self, name: &str) -> Option<usize> {
+        self.plans.get(name).copied()
+    }
+
     /// The index of a zone.
     pub fn zone(&self, name: &str) -> Result<u32, String> {
         self.zones.get(name).copied().ok_or_else(|| format!("unknown zone '{name}'"))
@@ -293,12 +305,12 @@
 
     /// A request in the module's terms.
     pub fn request(&self, w: &WorkItem) -> Result<lib::Request, String> {
-        let class = self.classes.get(&w.service);
-        let plan = self.plans.get(&w.plan);
+        let class = self.class(&w.service);
+        let plan = self.plan(&w.plan);
         Ok(lib::Request {
             id: w.ticket,
-            class: *class.ok_or_else(|| format!("unknown class '{}'", w.service))?,
-            plan: *plan.ok_or_else(|| format!("unknown plan '{}'", w.plan))?,
+            class: class.ok_or_else(|| format!("unknown class '{}'", w.service))?,
+            plan: plan.ok_or_else(|| format!("unknown plan '{}'", w.plan))?,
             customer: u64::from_str_radix(&w.client_id, 16)
                 .map_err(|_| format!("ClientId '{}' is not 16 hex digits", w.client_id))?,
             budget_ms: w.budget_ms,
