Tests of the limiter over loopback sockets; bad entries, bounds and log mended

At fault by reading it: - discovery.rs: one entry with a bad address made the whole line bad, and the watch would have begun anew for ever. Entries are now read one by one. - driver.rs: eprintln! panics once nobody reads the log. - servers.rs: want of descriptors here was told as NoConnection, and the module would have set a healthy server aside. - clients.rs: with the connection bound reached, half requests held their places for a minute; the longest idle one is now cut. A body that is too large is read on, so that its 413 is not lost in a reset. Checked: seventeen tests with the real program, stub servers and a stub of discovery; the test of the list found that 'gone' after 'draining' was not logged.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use fawnhill::{Effect, Request, RequestId};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -40,6 +40,13 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// The longest time left that makes sense, in seconds.
 const MOST_TIME_LEFT: f64 = 3600.0;
+/// A connection may be cut for want of room after standing idle for so long.
+const EVICT_IDLE: Duration = Duration::from_millis(500);
+/// How often it is seen whether there is room again, or an end to wait for.
+const TICK: Duration = Duration::from_millis(50);
+/// A body that is too large is read on for so long and so far, so that its sender sees the answer.
+const MOST_DISCARDED: usize = 1 << 20;
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// After SIGTERM: new connections keep coming for so long at least, and one that asks nothing is closed.
 const DRAIN_ACCEPT: Duration = Duration::from_millis(800);
 const DRAIN_IDLE: Duration = Duration::from_millis(700);
@@ -51,7 +58,10 @@
     /// A request of it is being taken in or answered.
     busy: Cell<bool>,
     used: Cell<Instant>,
+    /// Close between requests.
     close: Notify,
+    /// Close at once.
+    cut: Notify,
 }
 
 /// The open client connections, by number.
@@ -62,11 +72,14 @@
 }
 
 impl Clients {
-    /// Asks the connection that has been idle for longest to close; false if all are busy.
-    fn evict(&self) -> bool {
+    /// Cuts the connection that has been idle for longest, if for some time: a shorter one may still be
+    /// writing its answer. Guards against clients that hold connections, or send a request's half, for ever.
+    fn evict(&self) {
         let all = self.all.borrow();
-        let oldest = all.values().filter(|c| !c.busy.get()).min_by_key(|c| c.used.get());
-        oldest.map(|c| c.close.notify_one()).is_some()
+        let idle = all.values().filter(|c| !c.busy.get() && c.used.get().elapsed() > EVICT_IDLE);
+        if let Some(client) = idle.min_by_key(|c| c.used.get()) {
+            client.cut.notify_one();
+        }
     }
 }
 
@@ -81,6 +94,7 @@
         if !room {
             clients.evict();
         }
+        let tick = stopped.is_some() || !room;
         if let Some(at) = stopped {
             let idle = clients.all.borrow().is_empty();
             if (idle && at.elapsed() >= DRAIN_ACCEPT) || at.elapsed() >= DRAIN_MOST {
@@ -110,15 +124,19 @@
                 }
             }
             () = clients.closed.notified() => {}
-            () = tokio::time::sleep(Duration::from_millis(50)), if stopped.is_some() => {}
+            () = tokio::time::sleep(TICK), if tick => {}
         }
     }
 }
 
 fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let client =
-        Rc::new(Client { busy: Cell::new(false), used: Cell::new(Instant::now()), close: Notify::new() });
+    let client = Rc::new(Client {
+        busy: Cell::new(false),
+        used: Cell::new(Instant::now()),
+        close: Notify::new(),
+        cut: Notify::new(),
+    });
     clients.all.borrow_mut().insert(number, client.clone());
     let (driver, clients) = (driver.clone(), clients.clone());
     tokio::task::spawn_local(async move {
@@ -157,6 +175,7 @@
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
             _ = &mut serving => return,
+            () = client.cut.notified() => return,
             () = client.close.notified(), if !closing => {
                 closing = true;
                 serving.as_mut().graceful_shutdown();
@@ -187,12 +206,9 @@
         Ok(read) => read,
         Err((status, why)) => return bad(status, why),
     };
-    let body = match timeout(BODY_TIME, Limited::new(body, MOST_BODY).collect()).await {
-        Ok(Ok(whole)) => whole.to_bytes(),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            return bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-        }
-        Ok(Err(_)) => return bad(StatusCode::BAD_REQUEST, "the body did not come whole"),
+    let body = match timeout(BODY_TIME, whole(body)).await {
+        Ok(Ok(whole)) => whole,
+        Ok(Err((status, why))) => return bad(status, why),
         Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
     };
     if head.method == Method::GET && !body.is_empty() {
@@ -224,6 +240,35 @@
     }
 }
 
+/// The body, of bounded length.
+async fn whole(mut body: Incoming) -> Result<Bytes, Bad> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| (StatusCode::BAD_REQUEST, "the body did not come whole"))?;
+        let Some(data) = frame.data_ref() else { continue };
+        if whole.len() + data.len() > MOST_BODY {
+            let _ = timeout(DISCARD_TIME, discard(body)).await;
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        }
+        whole.extend_from_slice(data);
+    }
+    Ok(whole.freeze())
+}
+
+/// Guards against an answer lost in a reset, which closing a socket with unread bytes would cause.
+async fn discard(mut body: Incoming) {
+    let mut seen = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        seen += frame.data_ref().map_or(0, Bytes::len);
+        if seen > MOST_DISCARDED {
+            return;
+        }
+    }
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -29,7 +29,7 @@
     version: u64,
     #[serde(default)]
     full: bool,
-    servers: Vec<Line>,
+    servers: Vec<serde_json::Value>,
 }
 
 impl List {
@@ -64,7 +64,15 @@
 
 /// A list in the module's terms. The module's clock counts Unix time, so that starts need no conversion.
 pub fn news(list: List, driver: &Driver) -> News {
-    let entry = |line: Line| {
+    let entry = |value: serde_json::Value| {
+        // One entry that makes no sense must not cost the others.
+        let line: Line = match serde_json::from_value(value) {
+            Ok(line) => line,
+            Err(e) => {
+                driver.log(&format!("discovery: an entry was passed over: {e}"));
+                return None;
+            }
+        };
         let entry = ServerEntry {
             server: line.id.into(),
             // A zone that the settings do not name is no limiter's own.
@@ -78,9 +86,9 @@
             weight: line.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
             started: line.started_ms,
         };
-        (entry, line.addr)
+        Some((entry, line.addr))
     };
-    News { whole: list.full, entries: list.servers.into_iter().map(entry).collect() }
+    News { whole: list.full, entries: list.servers.into_iter().filter_map(entry).collect() }
 }
 
 /// Watches for ever; a watch that ends, breaks or falls silent is begun anew from the last version.
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -167,7 +168,8 @@
 
     /// One line for the operator.
     pub fn log(&self, line: &str) {
-        eprintln!("{}: {line}", self.config.name);
+        // A log that nobody reads any more must not end the limiter, as `eprintln!` would.
+        let _ = writeln!(std::io::stderr(), "{}: {line}", self.config.name);
     }
 
     /// Milliseconds of the module's clock.
@@ -219,10 +221,16 @@
             } else {
                 state.servers.insert(entry.server.clone(), Known { addr: *addr, takes })
             };
+            let news = match &old {
+                Some(old) => gone || old.takes != takes || old.addr != *addr,
+                None => !gone,
+            };
+            if news {
+                self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.condition));
+            }
             if let Some(old) = old.filter(|o| !takes || o.addr != *addr) {
                 self.pool.borrow_mut().drop_idle(old.addr);
             }
-            self.log(&format!("server {} at {addr}: {:?}", entry.server, entry.condition));
         }
         let entries = news.entries.into_iter().map(|(e, _)| e).collect();
         state.events.push_back(Event::Servers { whole: news.whole, entries });
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -45,7 +45,8 @@
         None => None,
     };
     let driver = Driver::new(config, mail.clone())?;
-    eprintln!("{} serves on {}", driver.config.name, driver.config.listen);
+    let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+    driver.log(&format!("serves on {at}"));
     if let Some(mail) = mail {
         tokio::task::spawn_local(peers::listen(driver.clone(), mail));
     }
@@ -59,6 +60,6 @@
         }
     };
     clients::serve(&driver, listener, stop).await;
-    eprintln!("{} stops", driver.config.name);
+    driver.log("stops");
     Ok(())
 }
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -24,6 +24,9 @@
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
+/// Errors of a connect that lie on this side: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
+const OWN_FAULTS: [i32; 5] = [12, 23, 24, 99, 105];
+
 /// One attempt.
 pub struct Job {
     /// Which request.
@@ -212,6 +215,11 @@
     let limit = Duration::from_secs_f64(driver.config.settings.connect_timeout_ms.max(1.0) / 1000.0);
     let stream = match timeout(limit, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
+        // Want of descriptors or ports here says nothing about the server: it must not count as silent.
+        Ok(Err(e)) if e.raw_os_error().is_some_and(|n| OWN_FAULTS.contains(&n)) => {
+            driver.log(&format!("connect: {e}"));
+            return Err(Outcome::NotSent);
+        }
         Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
     };
     let _ = stream.set_nodelay(true);
--- /dev/null
+++ b/marldeal/tests/sockets.rs
@@ -0,0 +1,339 @@
+//! The real program between stub servers, a stub of discovery and raw clients, all on loopback.
+
+mod stubs;
+
+use std::io::{Read, Write};
+use std::net::{TcpStream, UdpSocket};
+use std::time::{Duration, Instant};
+
+use stubs::*;
+
+#[test]
+fn a_server_gets_the_request_and_the_client_its_body_unchanged() {
+    let body: String = ('a'..='z').cycle().take(50_000).collect();
+    let text = body.clone();
+    let server = Stub::new(move |_, stream| write_ok(stream, &text));
+    let node = Node::start(&[("s-1", &server, "active")]);
+    let answer = ask(&node, &post("book", "k1", "X-Ignored: 1\r\n", "hello"));
+    assert_eq!((answer.status, answer.body.as_str()), (200, body.as_str()));
+    let seen = server.seen();
+    assert_eq!(seen.len(), 1);
+    assert!(seen[0].head.starts_with("POST /book/00000000b4d65521?x=1 HTTP/1.1\r\n"), "{}", seen[0].head);
+    assert_eq!(seen[0].header("x-correlation-id").as_deref(), Some("c-k1"));
+    assert_eq!(seen[0].header("idempotency-key").as_deref(), Some("k1"));
+    let left: f64 = seen[0].header("x-time-left").and_then(|t| t.parse().ok()).expect("time left");
+    assert!(left > 0.0 && left <= 3.0, "{left}");
+    assert_eq!(seen[0].body, "hello");
+}
+
+/// Guards against bad input reaching the module or a server, or ending the program.
+#[test]
+fn bad_input_is_answered_at_once_and_goes_nowhere() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let node = Node::start(&[("s-1", &server, "active")]);
+    let good = get("look", "");
+    let without = |line: &str| {
+        let kept: Vec<&str> = good.split("\r\n").filter(|l| !l.starts_with(line)).collect();
+        kept.join("\r\n")
+    };
+    let too_long = "x".repeat(70_000);
+    for (status, request) in [
+        (400, get("nothing", "")),
+        (400, good.replace("00000000b4d65521", "b4d65521")),
+        (400, good.replace("00000000b4d65521", "00000000b4d6552g")),
+        (400, good.replace("00000000b4d65521", "f0000000b4d65521")),
+        (400, good.replace("X-Tariff: basic", "X-Tariff: unheard")),
+        (400, without("X-Tariff")),
+        (400, without("X-Correlation-Id")),
+        (400, without("X-Time-Left")),
+        (400, good.replace("X-Time-Left: 3.0", "X-Time-Left: NaN")),
+        (400, good.replace("X-Time-Left: 3.0", "X-Time-Left: -1")),
+        (400, without("X-Weight")),
+        (400, good.replace("units=1", "units=-1")),
+        (400, good.replace("spread=1", "spread=0")),
+        (400, good.replace("first=0", "first=9")),
+        (400, post("book", "k", "", "").replace("Idempotency-Key: k\r\n", "")),
+        (405, good.replacen("GET", "DELETE", 1)),
+        (404, good.replace("/look/", "/look/more/")),
+        (404, good.replace("/look/00000000b4d65521?x=1", "/")),
+        (413, post("book", "k", "", &too_long)),
+        (400, "GARBAGE\r\n\r\n".to_string()),
+    ] {
+        let began = Instant::now();
+        assert_eq!(ask(&node, &request).status, status, "{:.300}", request);
+        assert!(began.elapsed() < Duration::from_secs(3), "{:.300}", request);
+    }
+    assert_eq!(ask(&node, &good).status, 200);
+    assert_eq!(server.seen().len(), 1, "only the good one reached the server");
+}
+
+/// 503 and 504 prove that nothing ran only with the mark; without it a keyed request must end as failed.
+#[test]
+fn turned_away_counts_as_never_run_only_with_the_mark() {
+    for (mark, expected) in [("X-Unprocessed: 1\r\n", 429), ("", 502), ("X-Unprocessed: 0\r\n", 502)] {
+        for line in ["503 Busy", "504 Late"] {
+            let server = Stub::new(move |_, stream| {
+                write!(stream, "HTTP/1.1 {line}\r\n{mark}Content-Length: 0\r\n\r\n").is_ok()
+            });
+            let node = Node::start(&[("s-1", &server, "active")]);
+            assert_eq!(ask(&node, &post("book", "k", "", "x")).status, expected, "{line} {mark}");
+        }
+    }
+}
+
+/// Guards against a part of a body passed on as served, and against a broken exchange taken for never run.
+#[test]
+fn a_broken_answer_is_never_served() {
+    let cut = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+    let chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    let long = format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    for text in [String::new(), "HTTP/1.1 200".to_string(), cut.to_string(), chunk.to_string(), long] {
+        let server = Stub::new(move |_, stream| {
+            let _ = stream.write_all(text.as_bytes());
+            false
+        });
+        let node = Node::start(&[("s-1", &server, "active")]);
+        assert_eq!(ask(&node, &post("book", "k", "", "x")).status, 502);
+        let seen = server.seen();
+        assert!((1..=3).contains(&seen.len()), "{} attempts", seen.len());
+        assert!(seen.iter().all(|s| s.header("idempotency-key").as_deref() == Some("k")));
+    }
+}
+
+/// A refused connection proves that nothing ran: the client is told that trying again is harmless.
+#[test]
+fn a_refused_connection_is_a_refusal() {
+    let server = Stub::new(|_, _| false);
+    let addr = server.addr;
+    let node = Node::start(&[("s-1", &server, "active")]);
+    server.close();
+    assert!(TcpStream::connect(addr).is_err());
+    assert_eq!(ask(&node, &post("book", "k", "", "x")).status, 429);
+}
+
+/// The classic trap: the server closes an idle connection; the next request must not be lost on it, nor be
+/// sent twice.
+#[test]
+fn a_closed_idle_connection_is_not_used() {
+    let server = Stub::new(|_, stream| {
+        write_ok(stream, "once");
+        false
+    });
+    let node = Node::start(&[("s-1", &server, "active")]);
+    for n in 1..=5 {
+        assert_eq!(ask(&node, &post("book", &format!("k{n}"), "", "x")).status, 200);
+        assert_eq!(server.seen().len(), n, "each request came once");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn connections_to_servers_are_kept_and_dropped_before_the_servers_idle_time() {
+    let server = Stub::new(|_, stream| write_ok(stream, "kept"));
+    let node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""DialTimeoutMs":250"#, r#""DialTimeoutMs":250,"IdleCloseMs":3000"#)
+    });
+    for _ in 0..5 {
+        assert_eq!(ask(&node, &get("look", "")).status, 200);
+    }
+    assert_eq!(server.connections(), 1, "one connection carries requests one after another");
+    wait_for("the idle connection to be dropped", || server.closed_by_peer() == 1);
+    assert_eq!(ask(&node, &get("look", "")).status, 200);
+    assert_eq!(server.connections(), 2);
+}
+
+/// A server that takes a request and says nothing: one answer before the deadline, and the attempt's
+/// connection is closed, not pooled.
+#[test]
+fn a_silent_server_costs_no_deadline() {
+    let server = Stub::new(|_, stream| {
+        let mut rest = [0; 64];
+        while stream.read(&mut rest).is_ok_and(|n| n > 0) {}
+        false
+    });
+    let node = Node::start(&[("s-1", &server, "active")]);
+    let began = Instant::now();
+    let answer = ask(&node, &post("book", "k", "", "x").replace("X-Time-Left: 3.0", "X-Time-Left: 0.6"));
+    assert_eq!(answer.status, 502, "it may have run");
+    assert!(began.elapsed() < Duration::from_millis(1500), "{:?}", began.elapsed());
+    wait_for("the attempts to be closed", || server.closed_by_peer() == server.connections());
+    assert!(server.most_open() == 1, "never two attempts at once");
+}
+
+/// A late answer to a request whose client has left must not reach the next one on the connection.
+#[test]
+fn a_client_that_leaves_gets_nothing_and_harms_nobody() {
+    let server = Stub::new(|seen, stream| {
+        if seen.body == "slow" {
+            std::thread::sleep(Duration::from_millis(300));
+        }
+        let body = seen.body.clone();
+        write_ok(stream, &body)
+    });
+    let node = Node::start(&[("s-1", &server, "active")]);
+    let mut leaver = TcpStream::connect(node.addr).expect("connect");
+    leaver.write_all(post("book", "k1", "", "slow").as_bytes()).expect("write");
+    wait_for("the request to arrive", || server.seen().len() == 1);
+    drop(leaver);
+    for n in 0..10 {
+        let body = format!("fast{n}");
+        let answer = ask(&node, &post("book", &format!("f{n}"), "", &body));
+        assert_eq!((answer.status, answer.body), (200, body));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn ready_only_with_a_server_that_takes_work() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let node = Node::start(&[]);
+    assert_eq!(ready(&node), 503);
+    node.discovery.push(&line(2, false, &[("s-1", server.addr, "active")]));
+    wait_for("readiness", || ready(&node) == 200);
+    assert_eq!(ask(&node, &get("look", "")).status, 200);
+    node.discovery.push(&line(3, false, &[("s-1", server.addr, "leaving")]));
+    wait_for("unreadiness", || ready(&node) == 503);
+}
+
+/// Nothing new goes to a server that drains or is gone, and a restart under a new address is followed.
+#[test]
+fn the_list_is_followed() {
+    let one = Stub::new(|_, stream| write_ok(stream, "one"));
+    let two = Stub::new(|_, stream| write_ok(stream, "two"));
+    let node = Node::start(&[("s-1", &one, "active"), ("s-2", &two, "active")]);
+    for state in ["leaving", "left"] {
+        node.discovery.push(&line(2, false, &[("s-1", one.addr, state)]));
+        node.wait_log(if state == "left" { "Gone" } else { "Draining" });
+        let before = one.seen().len();
+        for _ in 0..20 {
+            assert_eq!(ask(&node, &get("look", "")).body, "two");
+        }
+        assert_eq!(one.seen().len(), before, "{state}");
+    }
+    let moved = Stub::new(|_, stream| write_ok(stream, "moved"));
+    node.discovery.push(&line(4, false, &[("s-2", moved.addr, "active")]));
+    node.wait_log(&moved.addr.to_string());
+    assert_eq!(ask(&node, &get("look", "")).body, "moved");
+}
+
+/// Guards against lost changes: half lines are put together, a bad line and an ended watch begin a new one
+/// from the last version that was whole, and one bad entry does not cost the others.
+#[test]
+fn discovery_survives_half_lines_and_bad_ones() {
+    let one = Stub::new(|_, stream| write_ok(stream, "one"));
+    let node = Node::start(&[]);
+    let news = line(7, false, &[("s-1", one.addr, "active")]);
+    let (first, second) = news.split_at(30);
+    node.discovery.push(first);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(ready(&node), 503);
+    node.discovery.push(second);
+    wait_for("the joined line", || ready(&node) == 200);
+    node.discovery.push("{\"version\":8,\n");
+    wait_for("a new watch", || node.discovery.watches().len() == 2);
+    assert!(node.discovery.watches()[1].contains("after=7"), "{:?}", node.discovery.watches());
+    node.discovery.end();
+    wait_for("another watch", || node.discovery.watches().len() == 3);
+    let bad = r#"{"version":9,"full":false,"servers":[{"id":"s-3","addr":"nowhere"},{"id":"s-1","addr":"ADDR","state":"left"}]}"#;
+    node.discovery.push(&format!("{}\n", bad.replace("ADDR", &one.addr.to_string())));
+    wait_for("the entry after the bad one", || ready(&node) == 503);
+}
+
+/// A watch that falls silent is broken, whatever its connection says.
+#[test]
+fn a_silent_watch_is_begun_anew() {
+    let node = Node::start(&[]);
+    node.discovery.mute();
+    wait_for("a new watch", || node.discovery.watches().len() >= 2);
+}
+
+#[test]
+fn sigterm_finishes_what_was_taken_and_exits_with_0() {
+    let server = Stub::new(|seen, stream| {
+        if seen.body == "slow" {
+            std::thread::sleep(Duration::from_millis(600));
+        }
+        write_ok(stream, "done")
+    });
+    let mut node = Node::start(&[("s-1", &server, "active")]);
+    let mut idle = TcpStream::connect(node.addr).expect("connect");
+    assert_eq!(exchange(&mut idle, &get("look", "")).status, 200);
+    let mut slow = TcpStream::connect(node.addr).expect("connect");
+    slow.write_all(post("book", "k1", "", "slow").as_bytes()).expect("write");
+    wait_for("the slow request to arrive", || server.seen().len() == 2);
+    node.signal("TERM");
+    node.wait_log("finishing");
+    assert_eq!(idle.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
+    let fresh = ask(&node, &get("look", ""));
+    assert_eq!(fresh.status, 200, "new connections are still served");
+    assert_eq!(fresh.header("connection").as_deref(), Some("close"));
+    assert_eq!(read_answer(&mut slow).body, "done");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Idle connections, half requests and garbage beyond the bound must not shut others out.
+#[test]
+fn idle_and_slow_clients_hurt_only_themselves() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let node =
+        Node::with(&[("s-1", &server, "active")], |c| c.replace(r#""sockets":1024"#, r#""sockets":100"#));
+    let mut held = Vec::new();
+    for n in 0..120 {
+        let mut stream = TcpStream::connect(node.addr).expect("connect");
+        let text: &[u8] = [&b""[..], b"GET /look/00", b"\0\xff\xfe\r\n"][n % 3];
+        let _ = stream.write_all(text);
+        held.push(stream);
+    }
+    for _ in 0..5 {
+        assert_eq!(ask(&node, &get("look", "")).status, 200);
+    }
+}
+
+/// Strangers, oversized and garbled datagrams are ignored; what goes to a peer is 256 bytes at most.
+#[test]
+fn peers_are_known_by_their_address() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    peer.set_read_timeout(Some(Duration::from_secs(10))).expect("time-out");
+    let own = UdpSocket::bind("127.0.0.1:0").expect("bind").local_addr().expect("address");
+    let peers = format!(
+        r#""sockets":1024}},"peer_listen":"{own}","peers":["{own}","{}"],"limits2":{{"x":1"#,
+        peer.local_addr().expect("address")
+    );
+    let node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""sockets":1024"#, &peers)
+            .replace(r#""Balancers":1"#, r#""Balancers":2"#)
+            .replace(r#""Rate":0,"StoreSize":0"#, r#""Rate":100,"StoreSize":100"#)
+    });
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("bind");
+    for socket in [&stranger, &peer] {
+        for length in [0, 1, 64, 256, 257, 4000] {
+            socket.send_to(&vec![0xfb; length], own).expect("send");
+        }
+    }
+    // Keepers lie on both limiters: some of these customers are asked about at the peer, which stays silent.
+    for n in 0..16 {
+        let request = get("look", "").replace("00000000b4d65521", &format!("{n:016x}"));
+        let request = request.replace("spread=1", "spread=2");
+        assert_eq!(ask(&node, &request).status, 200, "the even part serves while a keeper is silent");
+    }
+    let mut buffer = [0; 1024];
+    let (length, from) = peer.recv_from(&mut buffer).expect("an ask");
+    assert!(length <= 256 && from == own);
+}
+
+#[test]
+fn bad_configuration_is_one_plain_line() {
+    for (from, to) in [
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"nowhere""#),
+        (r#""Balancers":1"#, r#""Balancers":0"#),
+        (r#""Zone":"a""#, r#""Zone":"unheard""#),
+        (r#""sockets":1024"#, r#""sockets":3"#),
+        ("{", ""),
+    ] {
+        let (code, text) = Node::refused(|c| c.replacen(from, to, 1));
+        assert_eq!(code, Some(1), "{text}");
+        assert_eq!(text.trim_end().lines().count(), 1, "{text}");
+        assert!(text.starts_with("marldeal: "), "{text}");
+    }
+}
