Wake the process only for what still means something

Four timers a request, most of them for requests long over. At fault: driver.rs armed every timer; main.rs ran a LocalSet, whose root future (the accept loop, a dozen polls) was polled at each wake of any task; hyper set a timer for each request's head.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -15,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{timeout, Instant};
@@ -36,7 +36,9 @@
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
 /// A client that has sent a part of a request and then nothing is cut off; so is one that stays idle.
-const HEAD_TIME: Duration = Duration::from_secs(60);
+const IDLE_TIME: Duration = Duration::from_secs(60);
+/// How often that is seen to.
+const SWEEP: Duration = Duration::from_millis(500);
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// The longest time left that makes sense, in seconds.
 const MOST_TIME_LEFT: f64 = 3600.0;
@@ -72,6 +74,20 @@
 }
 
 impl Clients {
+    /// Cuts connections that have asked nothing, or sent a part of a request, for too long. One pass a second
+    /// costs less than a timer for each request.
+    async fn sweep(&self, driver: &Driver) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let most = if driver.draining.get() { DRAIN_IDLE } else { IDLE_TIME };
+            for client in self.all.borrow().values() {
+                if !client.busy.get() && client.used.get().elapsed() > most {
+                    client.cut.notify_one();
+                }
+            }
+        }
+    }
+
     /// Cuts the connection that has been idle for longest, if for some time: a shorter one may still be
     /// writing its answer. Guards against clients that hold connections, or send a request's half, for ever.
     fn evict(&self) {
@@ -86,6 +102,8 @@
 /// Accepts and serves until `stop`, then finishes what was taken and returns.
 pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
     let clients = Rc::new(Clients::default());
+    let sweeping = (clients.clone(), driver.clone());
+    tokio::task::spawn_local(async move { sweeping.0.sweep(&sweeping.1).await });
     let mut number = 0u64;
     tokio::pin!(stop);
     let mut stopped: Option<Instant> = None;
@@ -162,8 +180,6 @@
     });
     let draining = driver.draining.get();
     let serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(if draining { DRAIN_IDLE } else { HEAD_TIME })
         .max_buf_size(MOST_HEAD)
         .keep_alive(!draining)
         .auto_date_header(false)
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -104,6 +104,26 @@
     next: RequestId,
 }
 
+impl State {
+    /// Drops what is next due but no longer means anything; true if the next moment has moved. Most requests
+    /// end long before their time-outs, and each of these would wake an idle process.
+    fn prune(&mut self) -> bool {
+        let before = self.timers.len();
+        while let Some(Reverse((_, what))) = self.timers.peek() {
+            let wanted = match what {
+                Due::Wake(token) => self.limiter.wants(*token),
+                Due::Cap(id, attempt) => self.out.contains_key(&(*id, *attempt)),
+                Due::Deadline(id) => self.open.contains_key(id),
+            };
+            if wanted {
+                break;
+            }
+            self.timers.pop();
+        }
+        self.timers.len() < before
+    }
+}
+
 /// The limiter with all that surrounds it; one thread, so that nothing is locked.
 pub struct Driver {
     /// As told at the start.
@@ -302,6 +322,9 @@
             }
             state.actions = actions;
         }
+        if state.prune() {
+            self.timers_changed.notify_one();
+        }
     }
 
     fn act(self: &Rc<Self>, state: &mut State, action: Action) {
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
 
 use config::Config;
@@ -20,9 +21,8 @@
 
 fn main() -> ExitCode {
     let done = Config::from_environment().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+        let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+        runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(run(config))
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,21 @@
     }
 }
 
+impl Limiter {
+    /// Whether a wake-up asked for still means something. One for a request that is over, an ask that was
+    /// answered or an attempt that has ended does nothing when it comes, so that the caller need not wait for
+    /// it; it may come all the same.
+    pub fn wants(&self, wake: u64) -> bool {
+        let open = || self.requests.get(&((wake >> 3) as RequestId));
+        match wake & 7 {
+            WAKE_DEADLINE | WAKE_AIM => open().is_some(),
+            WAKE_CHECK => open().is_some_and(|r| r.out),
+            WAKE_WORD => open().is_some_and(|r| r.asked.is_some()),
+            _ => true,
+        }
+    }
+}
+
 /// What a member of a customer's set remembers of it.
 #[derive(Debug)]
 pub struct Customer {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -106,6 +106,11 @@
         out
     }
 
+    /// Wake-ups that were asked for and still mean something.
+    pub fn wanted(&self) -> usize {
+        self.wakes.iter().filter(|w| self.limiter.wants(w.1)).count()
+    }
+
     /// Lets time pass, with the wake-ups that fall into it.
     pub fn pass(&mut self, ms: Millis) -> Vec<Action> {
         let end = self.now + ms;
@@ -116,7 +121,11 @@
                 Some(i) => {
                     let (at, token) = self.wakes.remove(i);
                     self.now = self.now.max(at);
-                    out.extend(self.give(Event::Wake { token }));
+                    // What the limiter says it does not want may be left out: it must do nothing.
+                    let wanted = self.limiter.wants(token);
+                    let did = self.give(Event::Wake { token });
+                    assert!(wanted || did.is_empty(), "an unwanted wake-up led to {did:?}");
+                    out.extend(did);
                 }
                 None => break,
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -165,3 +165,14 @@
     assert_eq!(sent(&rig.ended(1, 0, Outcome::Error, 5.0)).len(), 1);
     assert!(rig.ended(1, 0, Outcome::Error, 5.0).is_empty(), "attempt 1 is still out");
 }
+
+/// Guards against a process woken for every time-out of requests that ended long ago.
+#[test]
+fn wake_ups_for_an_ended_request_are_not_wanted() {
+    let mut rig = Rig::new(settings(0), 3);
+    let before = rig.wanted();
+    rig.ask(request(1, SAFE, FREE));
+    assert!(rig.wanted() >= before + 3, "its deadline, its aim and its silence");
+    rig.ended(1, 0, Outcome::Ok, 50.0);
+    assert_eq!(rig.wanted(), before);
+}
