Refusals say when to come back

At fault: policy.rs refused with retry_ms 0 in both places. The node's header was there, unused. Done: Limiter::advice, units over the quota's rate, or the hold time where the plan has no rate.

--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -111,6 +111,39 @@
     assert_eq!(ask(&node, &post("book", "k", "", "x")).status, 429);
 }
 
+/// What is given up on is answered at once, and the answer says when to come back.
+#[test]
+fn a_refusal_comes_at_once_and_carries_the_advice() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""MayTell":true"#, r#""MayTell":true,"RetryAfter":true"#)
+            .replace(r#""Rate":0,"StoreSize":0"#, r#""Rate":2,"StoreSize":1"#)
+    });
+    let request = get("look", "").replace("units=1", "units=3");
+    let began = Instant::now();
+    let answer = ask(&node, &request);
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?} of 3 s", began.elapsed());
+    assert_eq!(answer.status, 429);
+    assert_eq!(answer.header("retry-after").as_deref(), Some("1.500"));
+    assert!(server.seen().is_empty());
+}
+
+/// A limiter that was killed starts again under its address at once.
+#[test]
+fn a_killed_limiter_starts_again_under_its_address() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let first = Node::start(&[("s-1", &server, "active")]);
+    let addr = first.addr;
+    let mut kept = TcpStream::connect(addr).expect("connect");
+    assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
+    drop(first);
+    let again = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{addr}""#))
+    });
+    assert_eq!(again.addr, addr);
+    assert_eq!(ask(&again, &get("look", "")).status, 200);
+}
+
 /// The classic trap: the server closes an idle connection; the next request must not be lost on it, nor be
 /// sent twice.
 #[test]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -159,7 +159,7 @@
         request.first %= self.settings.limiters;
         self.note_units(request.units);
         if self.thinned(&request) {
-            out.push(Action::Refuse { id: request.id, retry_ms: 0.0 });
+            out.push(Action::Refuse { id: request.id, retry_ms: self.advice(&request) });
             return;
         }
         let aim = self.settings.classes[request.class].aim_ms;
@@ -302,12 +302,25 @@
             out.push(Action::Cancel { id, attempt });
         }
         if safe || (request.may_have_run.is_none() && !request.out) {
-            out.push(Action::Refuse { id, retry_ms: 0.0 });
+            out.push(Action::Refuse { id, retry_ms: self.advice(&request.request) });
         } else {
             out.push(Action::Fail { id });
         }
     }
 
+    /// When a refused client may come back: once the quota has given as much as it asks for; without a quota
+    /// on the rate, after the time that a request may be held.
+    fn advice(&self, request: &Request) -> Millis {
+        let rate = self.settings.plans[request.plan].rate;
+        let hold_ms = self.settings.classes[request.class].aim_ms * HOLD_PART;
+        let wait_ms = if rate > 0.0 { 1000.0 * request.units / rate } else { hold_ms };
+        if self.settings.may_advise {
+            wait_ms
+        } else {
+            0.0
+        }
+    }
+
     /// Takes a request off the books and tells its keeper what it really used.
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<Open> {
         let open = self.requests.remove(&id)?;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -176,3 +176,17 @@
     rig.ended(1, 0, Outcome::Ok, 50.0);
     assert_eq!(rig.wanted(), before);
 }
+
+/// A refusal comes at once and says when to come back, where clients are given advice.
+#[test]
+fn a_refusal_tells_when_to_come_back() {
+    let advice = |may_advise: bool, plan: usize| {
+        let mut rig = Rig::new(Settings { may_advise, limiters: 1, ..settings(0) }, 0);
+        let mut all = rig.ask(Request { units: 2.0, spread: 1, ..request(1, SAFE, plan) });
+        all.extend(rig.pass(3000.0));
+        all.iter().find_map(|a| if let Action::Refuse { retry_ms, .. } = a { Some(*retry_ms) } else { None })
+    };
+    assert_eq!(advice(true, RATED), Some(2000.0 / 6.0));
+    assert_eq!(advice(true, FREE), Some(250.0));
+    assert_eq!(advice(false, RATED), Some(0.0));
+}
