The test of closed idle connections can fail now

Seen: four mutations tried against the socket tests. Without the cut of idle clients and without the bound on an answer's length they fail, as they should. Without the look at a pooled connection before use they passed: the stub closed so early that the connection never reached the pool, and a second attempt hid the rest. Without the node's own check that a server takes work they passed too: the module checks the same, and only a connect that hangs would tell them apart. Done: the stub closes a connection after it has been pooled, and only one attempt is allowed; without the look the test now gets 502 for 200.

--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -150,13 +150,18 @@
 fn a_closed_idle_connection_is_not_used() {
     let server = Stub::new(|_, stream| {
         write_ok(stream, "once");
+        // Long enough for the connection to have gone back to the pool.
+        std::thread::sleep(Duration::from_millis(100));
+        let _ = stream.shutdown(std::net::Shutdown::Both);
         false
     });
-    let node = Node::start(&[("s-1", &server, "active")]);
+    // One attempt only: a second one would hide that the first went to a closed connection.
+    let node =
+        Node::with(&[("s-1", &server, "active")], |c| c.replace(r#""MostTries":3"#, r#""MostTries":1"#));
     for n in 1..=5 {
         assert_eq!(ask(&node, &post("book", &format!("k{n}"), "", "x")).status, 200);
         assert_eq!(server.seen().len(), n, "each request came once");
-        std::thread::sleep(Duration::from_millis(50));
+        wait_for("the server to close", || server.closed_by_peer() == n);
     }
 }
 
