SIGHUP reads the configuration again and moves the watch on discovery

The handler is the first thing installed; discovery is taken from the file even where the variable stood above it at the start. The old watch goes on until the new place has told its list, and starts without a version there.

--- a/marldeal/src/config.rs
+++ b/marldeal/src/config.rs
@@ -77,10 +77,22 @@
 /// Memory that one connection may hold at most, for the bound on their number.
 const CONNECTION_MB: f64 = 0.15;
 
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
 impl Config {
-    /// Reads the environment. The error is one plain line.
+    /// Reads the environment at a start. The error is one plain line.
     pub fn from_environment() -> Result<Config, String> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+        Config::read(variable)
+    }
+
+    /// Reads the file again. `ROUTER_DISCOVERY` tells of the start: only the file can name another address.
+    pub fn reloaded() -> Result<Config, String> {
+        Config::read(|name| if name == "ROUTER_DISCOVERY" { None } else { variable(name) })
+    }
+
+    fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
         let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The watch on the list of servers.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::driver::Driver;
@@ -91,42 +93,87 @@
     News { whole: list.full, entries: list.servers.into_iter().filter_map(entry).collect() }
 }
 
-/// Watches for ever; a watch that ends, breaks or falls silent is begun anew from the last version.
+/// Where discovery is. A reload may name another place; each place is a source with a number of its own.
+pub struct Sources {
+    addr: Cell<SocketAddr>,
+    newest: Cell<u32>,
+    /// The newest that has told a list.
+    told: Cell<u32>,
+    turned: Notify,
+}
+
+impl Sources {
+    /// One source, that has told nothing.
+    pub fn new(addr: SocketAddr) -> Sources {
+        Sources { addr: Cell::new(addr), newest: Cell::new(0), told: Cell::new(0), turned: Notify::new() }
+    }
+
+    /// Watches there from now on; false if that is so already.
+    pub fn turn_to(&self, addr: SocketAddr) -> bool {
+        let other = self.addr.replace(addr) != addr;
+        if other {
+            self.newest.set(self.newest.get() + 1);
+            self.turned.notify_one();
+        }
+        other
+    }
+}
+
+/// One source and how far its versions are known: those of another source say nothing here.
+struct Source {
+    addr: SocketAddr,
+    number: u32,
+    version: Option<u64>,
+}
+
+/// Watches for ever where the configuration says. After a reload the old watch goes on beside the new one until
+/// that has told its list: what the old place tells meanwhile is not lost, and what it tells later is not heard.
 pub async fn watch(driver: Rc<Driver>) {
     let mut version = driver.config.known.as_ref().map(|known| known.version);
+    loop {
+        let sources = &driver.sources;
+        let source =
+            Source { addr: sources.addr.get(), number: sources.newest.get(), version: version.take() };
+        tokio::task::spawn_local(keep(driver.clone(), source));
+        sources.turned.notified().await;
+    }
+}
+
+/// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version, unless
+/// there is a newer source by then.
+async fn keep(driver: Rc<Driver>, mut source: Source) {
     let mut wait = BACK_OFF.0;
     loop {
-        let before = version;
-        let why = follow(&driver, &mut version).await;
-        if version == before {
-            wait = (wait * 2).min(BACK_OFF.1);
-        } else {
-            wait = BACK_OFF.0;
+        let before = source.version;
+        let why = follow(&driver, &mut source).await;
+        if driver.sources.newest.get() != source.number {
+            return driver.log(&format!("discovery: {why}; {} is watched no more", source.addr));
         }
+        wait = if source.version == before { (wait * 2).min(BACK_OFF.1) } else { BACK_OFF.0 };
         driver.log(&format!("discovery: {why}; watching again"));
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
             () = driver.list_wanted.notified() => {}
         }
         if driver.take_whole_wanted() {
-            version = None;
+            source.version = None;
         }
     }
 }
 
 /// One watch, until it ends; says why.
-async fn follow(driver: &Rc<Driver>, version: &mut Option<u64>) -> String {
+async fn follow(driver: &Rc<Driver>, source: &mut Source) -> String {
     let connect = async {
-        let stream = TcpStream::connect(driver.config.discovery).await.map_err(|e| e.to_string())?;
+        let stream = TcpStream::connect(source.addr).await.map_err(|e| e.to_string())?;
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
         let task = Abort(tokio::task::spawn_local(async move { drop(connection.await) }));
-        let path = match *version {
+        let path = match source.version {
             Some(v) => format!("/api/targets?watch=1&after={v}"),
             None => "/api/targets?watch=1".to_string(),
         };
         let request = hyper::Request::get(path)
-            .header("host", driver.config.discovery.to_string())
+            .header("host", source.addr.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
@@ -136,7 +183,7 @@
         Ok((task, answer.into_body()))
     };
     match timeout(SILENCE, connect).await {
-        Ok(Ok((_task, body))) => read(driver, body, version).await,
+        Ok(Ok((_task, body))) => read(driver, body, source).await,
         Ok(Err(why)) => why,
         Err(_) => "no answer".to_string(),
     }
@@ -150,7 +197,7 @@
     }
 }
 
-async fn read(driver: &Rc<Driver>, mut body: Incoming, version: &mut Option<u64>) -> String {
+async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> String {
     let mut buffer = BytesMut::new();
     loop {
         let frame = tokio::select! {
@@ -163,6 +210,9 @@
             Ok(Some(Err(e))) => return e.to_string(),
             Ok(Some(Ok(frame))) => frame,
         };
+        if driver.sources.told.get() > source.number {
+            return "another source speaks".to_string();
+        }
         let Some(data) = frame.data_ref() else { continue };
         // A chunk may end within a line: what is left waits for the rest.
         let mut from = buffer.len();
@@ -175,7 +225,8 @@
             }
             match serde_json::from_slice::<List>(&line) {
                 Ok(list) => {
-                    *version = Some(list.version);
+                    source.version = Some(list.version);
+                    driver.sources.told.set(source.number);
                     driver.servers(news(list, driver));
                 }
                 // What the line held is missing from now on: the watch begins anew where it was still whole.
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::config::Config;
-use crate::discovery::{self, News};
+use crate::discovery::{self, News, Sources};
 use crate::peers;
 use crate::servers::{self, Pool};
 
@@ -128,6 +128,8 @@
 pub struct Driver {
     /// As told at the start.
     pub config: Config,
+    /// Where the list of servers comes from.
+    pub sources: Sources,
     /// Connections to servers.
     pub pool: RefCell<Pool>,
     /// The module wants the list: ends the watch's waiting.
@@ -167,6 +169,7 @@
             next: 0,
         };
         let driver = Rc::new(Driver {
+            sources: Sources::new(config.discovery),
             pool: RefCell::new(Pool::new(config.most_servers, config.idle_ms)),
             config,
             list_wanted: Notify::new(),
@@ -203,6 +206,18 @@
         told && !self.draining.get() && self.state.borrow().servers.values().any(|s| s.takes)
     }
 
+    /// Reads the configuration again; of what it says only where discovery is can change while serving. One
+    /// that makes no sense changes nothing.
+    pub fn reload(&self) {
+        match Config::reloaded() {
+            Ok(new) if self.sources.turn_to(new.discovery) => {
+                self.log(&format!("reload: discovery is at {} now", new.discovery));
+            }
+            Ok(_) => self.log("reload: nothing new"),
+            Err(why) => self.log(&format!("reload: {why}; the old configuration stands")),
+        }
+    }
+
     /// Whether the module asked for the whole list; asked once.
     pub fn take_whole_wanted(&self) -> bool {
         self.whole_wanted.replace(false)
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -20,11 +20,8 @@
 use driver::Driver;
 
 fn main() -> ExitCode {
-    let done = Config::from_environment().and_then(|config| {
-        let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-        runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(run(config))
-    });
-    match done {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    match runtime.map_err(|e| format!("cannot start: {e}")).and_then(|runtime| runtime.block_on(run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("marldeal: {why}");
@@ -34,9 +31,12 @@
 }
 
 /// Serves until SIGTERM or SIGINT, then finishes what was taken.
-async fn run(config: Config) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // Before all else: until it is handled, a SIGHUP ends the program.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let config = Config::from_environment()?;
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
@@ -53,6 +53,12 @@
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(servers::sweep(driver.clone()));
     tokio::task::spawn_local(discovery::watch(driver.clone()));
+    let reloading = driver.clone();
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reloading.reload();
+        }
+    });
     let stop = async move {
         tokio::select! {
             _ = term.recv() => "SIGTERM",
--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -285,6 +285,44 @@
     wait_for("a new watch", || node.discovery.watches().len() >= 2);
 }
 
+/// Guards against a SIGHUP that ends the program, and against news lost while the watch moves over: the old
+/// place counts until the new one has told its list, whose versions say nothing of the old one's.
+#[test]
+fn a_reload_moves_the_watch_and_loses_nothing() {
+    let one = Stub::new(|_, stream| write_ok(stream, "one"));
+    let two = Stub::new(|_, stream| write_ok(stream, "two"));
+    let node = Node::start(&[("s-1", &one, "active")]);
+    let other = Discovery::new("\n".to_string());
+    let (old, new) = (node.discovery.addr.to_string(), other.addr.to_string());
+    node.reload(|c| c.replace(&old, &new));
+    wait_for("the new watch", || other.watches().len() == 1);
+    assert!(!other.watches()[0].contains("after="), "{:?}", other.watches());
+    assert_eq!(ask(&node, &get("look", "")).body, "one", "the old list stands");
+    node.discovery.push(&line(7, false, &[("s-1", one.addr, "leaving"), ("s-2", two.addr, "active")]));
+    wait_for("the old watch's news", || ask(&node, &get("look", "")).body == "two");
+    other.push(&line(3, true, &[("s-1", one.addr, "active")]));
+    node.wait_log("server s-1 at");
+    wait_for("the new list", || ask(&node, &get("look", "")).body == "one");
+    node.discovery.push(&line(8, true, &[("s-2", two.addr, "active")]));
+    node.wait_log("another source speaks");
+    assert_eq!(ask(&node, &get("look", "")).body, "one");
+    other.end();
+    wait_for("the watch begun anew", || other.watches().len() == 2);
+    assert!(other.watches()[1].contains("after=3"), "{:?}", other.watches());
+}
+
+/// A bad file leaves all as it is.
+#[test]
+fn a_bad_reload_changes_nothing() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let node = Node::start(&[("s-1", &server, "active")]);
+    node.reload(|c| c.replacen('{', "", 1));
+    node.wait_log("the old configuration stands");
+    assert_eq!(ask(&node, &get("look", "")).status, 200);
+    node.discovery.push(&line(2, false, &[("s-1", server.addr, "leaving")]));
+    wait_for("the old watch's news", || ready(&node) == 503);
+}
+
 #[test]
 fn sigterm_finishes_what_was_taken_and_exits_with_0() {
     let server = Stub::new(|seen, stream| {
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -146,12 +146,12 @@
 
 /// Discovery: watches that say what they are told, and beats.
 pub struct Discovery {
-    addr: SocketAddr,
+    pub addr: SocketAddr,
     watches: Arc<Watches>,
 }
 
 impl Discovery {
-    fn new(first: String) -> Discovery {
+    pub fn new(first: String) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let addr = listener.local_addr().expect("address");
         let watches = Arc::new(Watches::default());
@@ -261,7 +261,10 @@
         let entries: Vec<_> = servers.iter().map(|(id, stub, state)| (*id, stub.addr, *state)).collect();
         let discovery = Discovery::new(line(1, true, &entries));
         let config = write_config(&alter(CONFIG.replace("DISCOVERY", &discovery.addr.to_string())));
-        let mut child = command(&config, descriptors).spawn().expect("the program starts");
+        // At the start the variable stands above the file; a reload goes by the file.
+        let told = discovery.addr.to_string();
+        let mut child =
+            command(&config, descriptors).env("ROUTER_DISCOVERY", told).spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let log = Arc::new(Mutex::new(String::new()));
         let all = log.clone();
@@ -293,6 +296,13 @@
         (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
     }
 
+    /// Replaces the configuration and tells the program.
+    pub fn reload(&self, alter: impl Fn(String) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
+        std::fs::write(&self.config, alter(text)).expect("the configuration is written");
+        self.signal("HUP");
+    }
+
     pub fn wait_log(&self, text: &str) {
         wait_for(text, || self.log.lock().expect("lock").contains(text));
     }
