A word that is late while the usual wait grows is missed all the same

Cause: check_word compared the age of the ask with the usual wait of that moment; if that had grown since the ask, the one wake-up found it 'not late yet', returned, and no other came: the request stood until its aim. Ruled out: holds (77), silent servers (34 with two or more attempts). It looks again now when the wait is over.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -568,7 +568,12 @@
     fn check_word(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let late = self.wait_ms * LATE_TIMES;
         let Some(open) = self.requests.get_mut(&id) else { return };
-        let Some((keeper, at)) = open.asked.filter(|(_, at)| self.now - at >= late) else { return };
+        let Some((keeper, at)) = open.asked else { return };
+        // The usual wait has grown since the ask: without another look a lost word would never be missed.
+        if self.now - at < late {
+            let after_ms = at + late - self.now + self.settings.round_ms;
+            return out.push(Action::Wake { after_ms, token: token(id, WAKE_WORD) });
+        }
         let missed = self.missed.entry(keeper).or_insert(Missed { misses: 0, at });
         *missed = Missed { misses: missed.misses + 1, at: self.now };
         open.asked = None;
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -360,3 +360,24 @@
     broken(|s| s.plans[0].rate = f64::NAN, "plan 0");
     broken(|s| s.cold_share = 1.5, "cold_share");
 }
+
+/// The usual wait may grow while an ask is out. Guards against a lost word that is then never missed, so that its
+/// request stands until its aim.
+#[test]
+fn a_lost_word_is_missed_also_when_waits_have_grown() {
+    let mut net =
+        Net::new((0..2).map(|position| Settings { limiters: 2, ..settings(position) }).collect(), 3, 5);
+    net.pass(500.0);
+    net.delay_ms = (42.0, 43.0);
+    let ask = |id, customer| Event::Request(Request { spread: 2, customer, ..request(id, SAFE, RATED) });
+    let theirs =
+        (0..32).find(|c| net.give(0, ask(*c as u32, *c)).is_empty()).expect("a customer kept by the peer");
+    net.loss = 1.0;
+    net.give(0, ask(100, theirs));
+    net.loss = 0.0;
+    let sent = |all: Vec<(usize, Action)>, of| {
+        all.iter().any(|a| matches!(a.1, Action::Send { id, .. } if id == of))
+    };
+    assert!(sent(net.pass(104.0), theirs as u32), "a slow word");
+    assert!(sent(net.pass(150.0), 100), "the lost one is asked for again");
+}
