After SIGTERM kept connections are served while there is time; silence is not waited for

Each limiter closed its clients' connections at SIGTERM and then hung until it was killed at 3.7 s, since crowds that ask nothing kept it from being empty. Connections are kept until what may still come can be answered before SIGKILL, and only answers owed hold up the exit.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -58,9 +58,8 @@
 /// A body that is too large is read on for so long and so far, so that its sender sees the answer.
 const MOST_DISCARDED: usize = 1 << 20;
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// After SIGTERM: new connections keep coming for so long at least, and one that asks nothing is closed.
-const DRAIN_ACCEPT: Duration = Duration::from_millis(800);
-const DRAIN_IDLE: Duration = Duration::from_millis(700);
+/// When no more requests are taken: one that asks nothing is closed.
+const DRAIN_IDLE: Duration = Duration::from_millis(500);
 /// After SIGTERM: nothing is waited for any longer than this.
 const DRAIN_MOST: Duration = Duration::from_secs(20);
 
@@ -148,15 +147,17 @@
 struct Clients {
     all: RefCell<BTreeMap<u64, Rc<Client>>>,
     closed: Notify,
+    /// No more requests are taken.
+    closing: Cell<bool>,
 }
 
 impl Clients {
     /// Cuts connections that have asked nothing, or sent a part of a request, for too long. A few passes a
     /// second cost less than a timer for each request.
-    async fn sweep(&self, driver: &Driver) {
+    async fn sweep(&self) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let idle = if driver.draining.get() { DRAIN_IDLE } else { IDLE_TIME };
+            let idle = if self.closing.get() { DRAIN_IDLE } else { IDLE_TIME };
             for client in self.all.borrow().values().filter(|c| !c.busy.get()) {
                 let part = client.begun.get().is_some_and(|at| at.elapsed() > PART_TIME);
                 if part || client.used.get().elapsed() > idle {
@@ -166,6 +167,12 @@
         }
     }
 
+    /// Whether an answer is owed or on its way. Connections that have not asked are not waited for: bad clients
+    /// open new ones without end, and a limiter that lingers for them is missed.
+    fn owe(&self) -> bool {
+        self.all.borrow().values().any(|c| c.busy.get() || c.begun.get().is_none())
+    }
+
     /// Cuts a connection that has asked nothing yet or sent a part, the oldest first, else the one that has
     /// been idle for longest, if for some time: it may still be writing its answer. Guards against crowds
     /// that hold connections, or send a request's half, in place of the clients that ask.
@@ -185,8 +192,11 @@
 /// Accepts and serves until `stop`, then finishes what was taken and returns.
 pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
     let clients = Rc::new(Clients::default());
-    let sweeping = (clients.clone(), driver.clone());
-    tokio::task::spawn_local(async move { sweeping.0.sweep(&sweeping.1).await });
+    let sweeping = clients.clone();
+    tokio::task::spawn_local(async move { sweeping.sweep().await });
+    // After SIGTERM clients go on using the connections they have: these are served for as long as there is time.
+    let serving = Duration::from_secs_f64(driver.config.drain_ms / 1000.0);
+    let mut listener = Some(listener);
     let mut number = 0u64;
     let mut failing = false;
     tokio::pin!(stop);
@@ -197,14 +207,23 @@
             clients.evict();
         }
         let tick = stopped.is_some() || !room;
-        if let Some(at) = stopped {
-            let idle = clients.all.borrow().is_empty();
-            if (idle && at.elapsed() >= DRAIN_ACCEPT) || at.elapsed() >= DRAIN_MOST {
+        if let Some(at) = stopped.filter(|at| at.elapsed() >= serving) {
+            if listener.take().is_some() {
+                clients.closing.set(true);
+                clients.all.borrow().values().for_each(|c| c.close.notify_one());
+            }
+            if !clients.owe() || at.elapsed() >= DRAIN_MOST {
                 return;
             }
         }
+        let accept = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            accepted = listener.accept(), if room => match accepted {
+            accepted = accept, if room => match accepted {
                 Ok((stream, _)) => {
                     number += 1;
                     failing = false;
@@ -224,9 +243,6 @@
                 driver.log(&format!("{why}: finishing"));
                 stopped = Some(Instant::now());
                 driver.draining.set(true);
-                for client in clients.all.borrow().values() {
-                    client.close.notify_one();
-                }
             }
             () = clients.closed.notified() => {}
             () = tokio::time::sleep(TICK), if tick => {}
@@ -240,20 +256,20 @@
     clients.all.borrow_mut().insert(number, client.clone());
     let (driver, clients) = (driver.clone(), clients.clone());
     tokio::task::spawn_local(async move {
-        connection(&driver, &client, stream).await;
+        connection(&driver, &clients, &client, stream).await;
         clients.all.borrow_mut().remove(&number);
         clients.closed.notify_one();
     });
 }
 
-async fn connection(driver: &Rc<Driver>, client: &Rc<Client>, stream: TcpStream) {
+async fn connection(driver: &Rc<Driver>, clients: &Rc<Clients>, client: &Rc<Client>, stream: TcpStream) {
     let service = service_fn(|request| {
-        let (driver, client) = (driver.clone(), client.clone());
+        let (driver, clients, client) = (driver.clone(), clients.clone(), client.clone());
         async move {
             client.busy.set(true);
             client.reading.set(true);
             let mut answer = respond(&driver, &client, request).await;
-            if driver.draining.get() {
+            if clients.closing.get() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             client.busy.set(false);
@@ -262,10 +278,8 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let draining = driver.draining.get();
     let serving = http1::Builder::new()
         .max_buf_size(MOST_HEAD)
-        .keep_alive(!draining)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(Heard { stream, client: client.clone() }), service);
     tokio::pin!(serving);
--- a/marldeal/src/config.rs
+++ b/marldeal/src/config.rs
@@ -63,6 +63,8 @@
     pub known: Option<List>,
     /// Milliseconds after which an idle connection to a server is dropped.
     pub idle_ms: f64,
+    /// For how long requests are taken after SIGTERM.
+    pub drain_ms: f64,
     /// Most units that one request may ask for.
     pub most_units: f64,
     /// The module's settings.
@@ -81,6 +83,24 @@
 /// Memory that one connection may hold at most, for the bound on their number.
 const CONNECTION_MB: f64 = 0.15;
 
+/// SIGKILL comes no sooner than the longest deadline, or this if that is less, and a while more after SIGTERM.
+const MOST_DEADLINE_MS: f64 = 3000.0;
+const KILL_AFTER_MS: f64 = 700.0;
+/// Kept between the last answer and SIGKILL.
+const DRAIN_SPARE_MS: f64 = 300.0;
+/// New connections come for 0.4 s after SIGTERM: requests are taken for so long at least.
+const LEAST_DRAIN_MS: f64 = 600.0;
+
+/// Takes requests for as long after SIGTERM as each can still be answered before SIGKILL. The module ends one at
+/// its aim where a later answer is worth nothing.
+fn drain_ms(settings: &Setup) -> f64 {
+    let deadline = |c: &wire::Class| c.deadline_ms.unwrap_or(0.0).min(MOST_DEADLINE_MS);
+    let ends = |c: &wire::Class| if c.late_worth > 0.0 { MOST_DEADLINE_MS } else { c.aim_ms };
+    let longest = settings.classes.iter().map(deadline).fold(0.0, f64::max);
+    let answered = settings.classes.iter().map(ends).fold(0.0, f64::max);
+    (longest + KILL_AFTER_MS - answered - DRAIN_SPARE_MS).max(LEAST_DRAIN_MS)
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
@@ -117,6 +137,7 @@
         if !server_idle.is_finite() || server_idle < 0.0 {
             return Err(format!("IdleCloseMs {server_idle} is not a time"));
         }
+        let drain_ms = drain_ms(&file.settings);
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
@@ -136,6 +157,7 @@
             peers_all: file.peers_all,
             known: file.known,
             idle_ms: server_idle * IDLE_PART,
+            drain_ms,
             most_units,
             settings,
             names,
--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -341,14 +341,61 @@
     wait_for("the slow request to arrive", || server.seen().len() == 2);
     node.signal("TERM");
     node.wait_log("finishing");
+    assert_eq!(ask(&node, &get("look", "")).status, 200, "new connections are still served");
+    assert_eq!(exchange(&mut idle, &get("look", "")).status, 200, "and those that are kept");
     assert_eq!(idle.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
-    let fresh = ask(&node, &get("look", ""));
-    assert_eq!(fresh.status, 200, "new connections are still served");
-    assert_eq!(fresh.header("connection").as_deref(), Some("close"));
     assert_eq!(read_answer(&mut slow).body, "done");
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// After SIGTERM clients go on using the connections they have. Guards against closing these at once while there is
+/// time: 3 s of deadline and 0.7 s before a SIGKILL, less the longest aim (1 s) and a little to spare.
+#[test]
+fn sigterm_leaves_kept_connections_open_while_there_is_time() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let mut node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""AimMs":2500,"#, r#""AimMs":900,"DeadlineMs":8000,"#)
+    });
+    let mut kept = TcpStream::connect(node.addr).expect("connect");
+    assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
+    node.signal("TERM");
+    node.wait_log("finishing");
+    // Of 2.4 s; the next one comes after half of that.
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
+    assert_eq!(ready(&node), 503);
+    assert_eq!(kept.read(&mut [0; 16]).expect("a clean end"), 0, "closed between requests");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Guards against a restart held up by clients that connect and say nothing: what was taken is finished, no more.
+#[test]
+fn sigterm_does_not_wait_for_those_who_ask_nothing() {
+    let server = Stub::new(|_, stream| {
+        std::thread::sleep(Duration::from_millis(900));
+        write_ok(stream, "done")
+    });
+    let mut node = Node::start(&[("s-1", &server, "active")]);
+    let addr = node.addr;
+    let crowd = std::thread::spawn(move || {
+        let mut held = Vec::new();
+        // Until connections are refused, or for as long as an end would have to come by.
+        for _ in 0..200 {
+            let Ok(stream) = TcpStream::connect(addr) else { return true };
+            held.push(stream);
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    });
+    let mut slow = TcpStream::connect(node.addr).expect("connect");
+    slow.write_all(post("book", "k", "", "x").as_bytes()).expect("write");
+    wait_for("the request to arrive", || server.seen().len() == 1);
+    node.signal("TERM");
+    assert_eq!(read_answer(&mut slow).body, "done");
+    assert_eq!(node.exit_code(), Some(0));
+    assert!(crowd.join().expect("the crowd"), "it ended while they still came");
+}
+
 /// Idle connections, half requests and garbage beyond the bound must not shut others out.
 #[test]
 fn idle_and_slow_clients_hurt_only_themselves() {
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -177,6 +177,8 @@
     pub late_worth: f64,
     #[serde(default)]
     pub window_ms: f64,
+    /// How long a client waits at most, where the settings say so.
+    pub deadline_ms: Option<f64>,
 }
 
 /// Effects of a class.
