Ready once the ceilings have filled, or others serve already

Cause: a keeper's part of a ceiling starts as if spent, so that what an earlier start granted is never spent again; the clients of a fresh tier met empty ceilings. Ruled out: the discovery (0.02 s to a list) and the slot limit (4096 then). Limiters start unready now and open when the ceilings have filled (5 s at most); one that hears a peer 2 s older is missed and opens at once.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -211,10 +211,14 @@
         self.clock.now()
     }
 
-    /// A request could be served: a server takes work, and discovery has spoken or had its chance.
+    /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
+    /// ready to let requests in.
     pub fn ready(&self) -> bool {
         let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS;
-        told && !self.draining.get() && self.state.borrow().servers.values().any(|s| s.takes)
+        let state = self.state.borrow();
+        told && !self.draining.get()
+            && state.servers.values().any(|s| s.takes)
+            && state.limiter.settled(self.now())
     }
 
     /// Reads the configuration again; of what it says only where discovery is can change while serving. One
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,9 @@
 /// Milliseconds that a keeper remembers its words, and that they count at a member.
 const GRANT_KEPT_MS: Millis = 8000.0;
 const TOLD_MS: Millis = 4000.0;
+/// Longest wait for ceilings to fill at a start; a peer that started so much earlier serves already.
+const MOST_SETTLE_MS: Millis = 5000.0;
+const ELDER_MS: Millis = 2000.0;
 /// Share of the quota's store that must be left, as far as a member knows, for it to spend without asking.
 const ROOM_PART: f64 = 0.5;
 /// A member lets this many times the quota pass to the keeper, whose store decides exactly.
@@ -113,6 +116,15 @@
         })
     }
 
+    /// Whether clients may come: the ceilings kept here, which start as if spent, have filled, or others
+    /// serve already and are short of this limiter.
+    pub fn settled(&self, now: Millis) -> bool {
+        let fill_ms = |p: &Plan| 1000.0 * (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate;
+        let ceiled = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
+        let longest = ceiled.map(|p| GRANT_MS + fill_ms(p)).fold(0.0, f64::max).min(MOST_SETTLE_MS);
+        self.joined || !self.settings.may_tell || now - self.born >= longest
+    }
+
     /// Takes one event in and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -790,6 +802,8 @@
         }
         let Some((born, share, lines)) = read_message(body) else { return };
         self.missed.remove(&from);
+        let older_ms = self.incarnation.wrapping_sub(born);
+        self.joined |= older_ms < u32::MAX / 2 && f64::from(older_ms) >= ELDER_MS;
         if let Some(share) = share {
             self.latency.add(self.now, share);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,8 @@
     /// Tells one start from another in messages.
     pub(crate) incarnation: u32,
     pub(crate) started: bool,
+    /// A peer has been heard that started long before.
+    pub(crate) joined: bool,
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) attempts: BTreeMap<(RequestId, u32), Attempt>,
     pub(crate) held: VecDeque<RequestId>,
@@ -130,6 +132,7 @@
             born: now,
             incarnation: now as u64 as u32,
             started: false,
+            joined: false,
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             held: VecDeque::new(),
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -407,3 +407,24 @@
     let (units, _) = let_in(3, RATED, 1, 60, 0.0);
     assert!((12.0..=20.0).contains(&units), "{units}");
 }
+
+/// Guards against the refusals of a start: a ceiling starts as if spent, so that clients come once it has filled, or at
+/// once where others serve already and one less would be missed.
+#[test]
+fn clients_come_once_ceilings_have_filled_unless_others_serve() {
+    let all = (0..3).map(|position| Settings { limiters: 3, ..settings(position) }).collect();
+    let mut net = Net::new(all, 3, 5);
+    // 60 units and a slack of 3 at 12 a second would take 5.75 s.
+    net.pass(4900.0);
+    assert!(!net.rigs[0].limiter.settled(net.now));
+    net.pass(200.0);
+    assert!(net.rigs.iter().all(|rig| rig.limiter.settled(net.now)));
+    net.pass(3000.0);
+    net.restart(1, settings(1), 3, 6);
+    assert!(!net.rigs[1].limiter.settled(net.now), "no word from anyone yet");
+    for id in 0..20 {
+        net.give(0, Event::Request(Request { customer: id, ..request(id as u32, SAFE, RATED) }));
+    }
+    net.pass(100.0);
+    assert!(net.rigs[1].limiter.settled(net.now), "others serve");
+}
