--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -586,17 +586,23 @@
     }
 }
 
-/// Two requests with one id could not be told apart at the servers: the second is turned away while the first is open.
-#[test]
-fn the_id_of_an_open_request_is_not_taken_twice() {
+/// A server that takes 0.3 s, and a client whose request stands there.
+fn with_one_open() -> (Stub, Node, TcpStream) {
     let server = Stub::new(|_, stream| {
         std::thread::sleep(Duration::from_millis(300));
         write_ok(stream, "fine")
     });
     let node = Node::start(&[("s-1", &server, "active")]);
-    let mut first = TcpStream::connect(node.addr).expect("connect");
-    first.write_all(get("look", "").as_bytes()).expect("write");
-    wait_for("the first to arrive", || server.seen().len() == 1);
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    client.write_all(get("look", "").as_bytes()).expect("write");
+    wait_for("the request to arrive", || server.seen().len() == 1);
+    (server, node, client)
+}
+
+/// Two requests with one id could not be told apart at the servers: the second is turned away while the first is open.
+#[test]
+fn the_id_of_an_open_request_is_not_taken_twice() {
+    let (server, node, mut first) = with_one_open();
     assert_eq!(ask(&node, &get("look", "").replace("d65521", "d65522")).status, 409);
     assert_eq!(read_answer(&mut first).status, 200);
     assert_eq!(server.seen().len(), 1);
@@ -629,14 +635,7 @@
 /// after its server has gone is not kept.
 #[test]
 fn a_new_server_does_not_inherit_connections() {
-    let server = Stub::new(|_, stream| {
-        std::thread::sleep(Duration::from_millis(300));
-        write_ok(stream, "fine")
-    });
-    let node = Node::start(&[("s-1", &server, "active")]);
-    let mut first = TcpStream::connect(node.addr).expect("connect");
-    first.write_all(get("look", "").as_bytes()).expect("write");
-    wait_for("the request to arrive", || server.seen().len() == 1);
+    let (server, node, mut first) = with_one_open();
     let now = [("s-1", server.addr, "left"), ("s-2", server.addr, "active")];
     node.discovery.push(&line(2, false, &now));
     node.wait_log("Gone");
