External processor: proxies ask about each request over gRPC and enforce the verdict

Member firms that front their traffic with proxies of their own want to ask marldeal instead of routing through it, with quotas counted jointly. crates/external holds what is presented, reported and decided, without I/O; marldeal/src/external.rs serves ext_proc, ext_authz, the rate limit service and health with tonic. Off unless an extension file (TOML) switches it on.

The program becomes a library with a command line: check names each mistake with file and key, demo runs two limiters on loopback.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,64 @@
+//! Ratios against bare baselines, each pair in one run: `external` against a bare tonic echo of the same messages,
+//! `direct` against a bare one-thread hyper pass-through. Bounded in count; outside CI.
+#![forbid(unsafe_code)]
+
+mod direct;
+mod external;
+mod process;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Benchmarks of marldeal. Build all with `cargo build --release --workspace` first.
+#[derive(Parser)]
+struct Arguments {
+    /// The program under test.
+    #[arg(long, default_value = "target/release/marldeal")]
+    program: PathBuf,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Decisions a second, latency and bytes for each open decision.
+    External {
+        /// Decisions at each level.
+        #[arg(long, default_value_t = 20_000)]
+        count: usize,
+    },
+    /// CPU for each request.
+    Direct {
+        /// Requests of each program.
+        #[arg(long, default_value_t = 20_000)]
+        count: usize,
+    },
+    /// The baseline of `external`; started by it.
+    #[command(hide = true)]
+    Echo,
+    /// The baseline of `direct`; started by it.
+    #[command(hide = true)]
+    Pass {
+        /// Where to pass requests on.
+        node: std::net::SocketAddr,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let done = match arguments.what {
+        What::External { count } => external::run(&arguments.program, count),
+        What::Direct { count } => direct::run(&arguments.program, count),
+        What::Echo => external::echo(),
+        What::Pass { node } => direct::pass(node),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("marldeal-bench: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,116 @@
+//! A program under measurement.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// Clock ticks a second in `/proc/PID/stat` (USER_HZ; proc(5)): 100 on every Linux that shows it to programs.
+const TICKS: f64 = 100.0;
+
+/// A child that ends with its owner.
+pub struct Process {
+    child: Child,
+    files: Vec<PathBuf>,
+    /// Where it listens, by the word that its log has before the address.
+    pub addr: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+    }
+}
+
+impl Process {
+    /// Starts a command and waits until its log (standard error) has a line with `word` and an address.
+    pub fn start(mut command: Command, word: &'static str, files: Vec<PathBuf>) -> Result<Process, String> {
+        let child = command.stderr(Stdio::piped()).spawn().map_err(|e| format!("{command:?}: {e}"))?;
+        let mut process = Process { child, files, addr: SocketAddr::from(([127, 0, 0, 1], 0)) };
+        let log = process.child.stderr.take().ok_or("no log")?;
+        let (told, heard) = mpsc::channel();
+        std::thread::spawn(move || {
+            for text in BufReader::new(log).lines().map_while(Result::ok) {
+                let _ = told.send(text);
+            }
+        });
+        let mut seen = String::new();
+        loop {
+            let text =
+                heard.recv_timeout(Duration::from_secs(15)).map_err(|_| format!("no start: {seen}"))?;
+            if let Some((_, at)) = text.split_once(word) {
+                process.addr = at.trim().parse().map_err(|_| format!("no address: {text}"))?;
+                return Ok(process);
+            }
+            seen.push_str(&text);
+        }
+    }
+
+    /// This program with a hidden command.
+    pub fn own(arguments: &[&str]) -> Result<Process, String> {
+        let mut command = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
+        command.args(arguments);
+        Process::start(command, "serves on ", Vec::new())
+    }
+
+    /// A limiter without quotas that takes all time, before nodes at these addresses. With `external` the address is
+    /// the external processor's.
+    pub fn limiter(program: &Path, discovery: SocketAddr, external: bool) -> Result<Process, String> {
+        let config = format!(
+            r#"{{"name":"bench","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "settings":{{"Balancers":1,"Position":0,"Zone":"a","Dcs":["a"],"RoundMs":4,"Discovery":"automatic",
+            "Classes":[{{"Name":"look","AimMs":50000,"Effect":"read_like"}}],
+            "TiersOfService":[{{"Name":"basic"}}],"Bounds":{{"MostTries":3,"DialTimeoutMs":250,"Cancelling":true}},
+            "Obligations":{{"StartCapacity":0.2,"ColdMs":9000,"FallMultiple":3,"TipAfterMs":2000}},
+            "Domain":{{"MailPerS":60}}}}}}"#
+        );
+        let path = |kind: &str| {
+            std::env::temp_dir().join(format!("marldeal-bench-{}-{external}.{kind}", std::process::id()))
+        };
+        let write = |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| e.to_string());
+        write(&path("json"), &config)?;
+        let mut command = Command::new(program);
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command.env("ROUTER_CONFIG", path("json"));
+        let mut files = vec![path("json")];
+        if external {
+            write(
+                &path("toml"),
+                "[external_processor]\nlisten = \"127.0.0.1:0\"\nmax_open_requests = 100000\n",
+            )?;
+            command.arg("--extensions").arg(path("toml"));
+            files.push(path("toml"));
+        }
+        let word = if external { "external processor on " } else { "serves on " };
+        Process::start(command, word, files)
+    }
+
+    /// CPU used so far, in seconds.
+    pub fn cpu(&self) -> Result<f64, String> {
+        let text = self.proc("stat")?;
+        // The name in brackets may hold spaces; fields are counted behind it (proc(5): utime 14, stime 15).
+        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok()).ok_or("no CPU figure");
+        Ok((ticks(11)? + ticks(12)?) / TICKS)
+    }
+
+    /// Resident memory, in bytes.
+    pub fn resident(&self) -> Result<f64, String> {
+        let text = self.proc("status")?;
+        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+        let kb = line.split_whitespace().next().and_then(|n| n.parse::<f64>().ok()).ok_or("no VmRSS")?;
+        Ok(kb * 1024.0)
+    }
+
+    fn proc(&self, file: &str) -> Result<String, String> {
+        let path = format!("/proc/{}/{file}", self.child.id());
+        std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -44,14 +44,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+pub mod outcomes;
+pub mod timers;
+
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 pub use fawnhill::Millis;
 use fawnhill::{
     Action, Condition, Event, Limiter, Load, Outcome, Request, RequestId, ServerEntry, ServerId, Settings,
 };
+use timers::Timers;
 
 /// What tells one client's request from another while it is open, such as the value of `X-Correlation-Id`.
 pub type Name = Arc<[u8]>;
@@ -197,8 +200,7 @@
     limiter: Limiter,
     events: VecDeque<Event>,
     actions: Vec<Action>,
-    /// Microseconds of the clock, and what is due then.
-    timers: BinaryHeap<Reverse<(u64, Due)>>,
+    timers: Timers<Due>,
     open: HashMap<RequestId, Open>,
     named: HashSet<Name>,
     /// When each attempt that is out was sent.
@@ -208,11 +210,6 @@
     next: RequestId,
 }
 
-/// Due moments are kept in whole microseconds, so that they can be ordered.
-fn micros(ms: Millis) -> u64 {
-    (ms * 1000.0).ceil() as u64
-}
-
 impl Engine {
     /// An engine whose module has just started at `now`. The error names the setting that cannot be served.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Engine, String> {
@@ -220,7 +217,7 @@
             limiter: Limiter::new(settings, seed, now)?,
             events: VecDeque::new(),
             actions: Vec::new(),
-            timers: BinaryHeap::new(),
+            timers: Timers::default(),
             open: HashMap::new(),
             named: HashSet::new(),
             out: HashMap::new(),
@@ -254,21 +251,14 @@
         taken
     }
 
-    /// When [`Input::Due`] is to come, at the latest; what no longer means anything is dropped first, for most
-    /// requests end long before their time-outs and each of these would wake an idle process.
+    /// When [`Input::Due`] is to come, at the latest.
     pub fn next_due(&mut self) -> Option<Millis> {
-        while let Some(Reverse((at, what))) = self.timers.peek().copied() {
-            let wanted = match what {
-                Due::Wake(token) => self.limiter.wants(token),
-                Due::Cap(id, attempt) => self.out.contains_key(&(id, attempt)),
-                Due::Deadline(id) => self.open.contains_key(&id),
-            };
-            if wanted {
-                return Some(at as f64 / 1000.0);
-            }
-            self.timers.pop();
-        }
-        None
+        let Engine { timers, limiter, out, open, .. } = self;
+        timers.next(|_, what| match what {
+            Due::Wake(token) => limiter.wants(*token),
+            Due::Cap(id, attempt) => out.contains_key(&(*id, *attempt)),
+            Due::Deadline(id) => open.contains_key(id),
+        })
     }
 
     /// Whether a server of the roster takes new work.
@@ -321,7 +311,7 @@
         request.id = id;
         let deadline = now + request.budget_ms;
         self.open.insert(id, Open { name, deadline, attempts: 0, out: false });
-        self.due(deadline, Due::Deadline(id));
+        self.timers.push(deadline, Due::Deadline(id));
         self.events.push_back(Event::Request(request));
         Some(id)
     }
@@ -361,11 +351,7 @@
 
     /// Fires all that is due.
     fn fire(&mut self, now: Millis, out: &mut Vec<Output>) {
-        while let Some(Reverse((at, what))) = self.timers.peek().copied() {
-            if now * 1000.0 < at as f64 {
-                return;
-            }
-            self.timers.pop();
+        while let Some(what) = self.timers.pop(now) {
             match what {
                 Due::Wake(token) => self.events.push_back(Event::Wake { token }),
                 Due::Cap(id, attempt) => self.stop(id, attempt, Outcome::TimedOut, out),
@@ -399,7 +385,7 @@
             Action::Cancel { id, attempt } => self.stop(id, attempt, Outcome::Cancelled, out),
             Action::Refuse { id, retry_ms } => self.answer(id, Answer::Refused { retry_ms }, out),
             Action::Fail { id } => self.answer(id, Answer::Failed, out),
-            Action::Wake { after_ms, token } => self.due(now + after_ms.max(0.0), Due::Wake(token)),
+            Action::Wake { after_ms, token } => self.timers.push(now + after_ms.max(0.0), Due::Wake(token)),
             Action::Tell { to, body } => out.push(Output::Tell { to, body }),
             Action::CloseIdle { server } => out.push(Output::CloseIdle { server }),
             // The watch is always on; asking again only freshens it.
@@ -443,7 +429,7 @@
         open.out = true;
         let end = if cap_ms > 0.0 { open.deadline.min(now + cap_ms) } else { open.deadline };
         self.out.insert((id, attempt), now);
-        self.due(end, Due::Cap(id, attempt));
+        self.timers.push(end, Due::Cap(id, attempt));
         out.push(Output::Send { id, attempt, server, end });
     }
 
@@ -458,8 +444,4 @@
             out.push(Output::Answer { id, answer });
         }
     }
-
-    fn due(&mut self, at: Millis, what: Due) {
-        self.timers.push(Reverse((micros(at), what)));
-    }
 }
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -25,7 +25,7 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::driver::{Answer, Content, Driver};
-use crate::head::{self, Bad, MOST_BODY};
+use crate::head::{self, Bad, Layout, MOST_BODY};
 
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
@@ -59,6 +59,7 @@
     used: Cell<Instant>,
     /// When the request that has not come whole began; a new connection owes one from the start.
     begun: Cell<Option<Instant>>,
+    layout: Rc<Layout>,
     /// Close between requests.
     close: Notify,
     /// Close at once.
@@ -66,13 +67,14 @@
 }
 
 impl Client {
-    fn new() -> Client {
+    fn new(layout: Rc<Layout>) -> Client {
         let now = Instant::now();
         Client {
             busy: Cell::new(false),
             reading: Cell::new(false),
             used: Cell::new(now),
             begun: Cell::new(Some(now)),
+            layout,
             close: Notify::new(),
             cut: Notify::new(),
         }
@@ -136,6 +138,7 @@
     closed: Notify,
     /// No more requests are taken.
     closing: Cell<bool>,
+    layout: Rc<Layout>,
 }
 
 impl Clients {
@@ -239,7 +242,7 @@
 
 fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let client = Rc::new(Client::new());
+    let client = Rc::new(Client::new(clients.layout.clone()));
     clients.all.borrow_mut().insert(number, client.clone());
     let (driver, clients) = (driver.clone(), clients.clone());
     tokio::task::spawn_local(async move {
@@ -310,7 +313,7 @@
         return plain(status, "");
     }
     let (head, body) = request.into_parts();
-    let read = match head::read(&driver.config, &head) {
+    let read = match head::read(&driver.config, &client.layout, &head) {
         Ok(read) => read,
         Err((status, why)) => return bad(status, why),
     };
--- a/marldeal/src/config.rs
+++ b/marldeal/src/config.rs
@@ -6,6 +6,7 @@
 use fawnhill_wirehost::wire::{self, Names, Setup};
 use serde::Deserialize;
 
+use crate::mistakes::{self, Mistake};
 use crate::roster::List;
 
 /// The configuration as the platform writes it.
@@ -118,32 +119,65 @@
 
     fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-        let pick = |own: Option<String>, name: &str| {
-            var(name).or(own).ok_or_else(|| format!("neither {name} nor {path} names it"))
+        Config::from_file(&path, var).map_err(|mistakes| mistakes::one_line(&mistakes))
+    }
+
+    /// Reads one file, with `var` above what it says of name, addresses. All mistakes at once.
+    pub fn from_file(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, Vec<Mistake>> {
+        let wrong = |key: &str, what: String| Mistake::new(path, key, what);
+        let text = std::fs::read_to_string(path).map_err(|e| vec![wrong("", e.to_string())])?;
+        let value = serde_json::from_str(&text).map_err(|e| vec![wrong("", e.to_string())])?;
+        let file: File = mistakes::gather(path, value)?;
+        let mut found = Vec::new();
+        let mut pick = |own: Option<String>, name: &str, key: &str| {
+            let text = var(name).or(own);
+            if text.is_none() {
+                found.push(wrong(key, format!("missing, and {name} does not tell it either")));
+            }
+            text.unwrap_or_default()
         };
-        let address = |text: String, name: &str| {
-            text.parse::<SocketAddr>().map_err(|_| format!("{name} '{text}' is not an address and port"))
+        let name = pick(file.name, "ROUTER_NAME", "name");
+        let listen = pick(file.listen, "ROUTER_LISTEN", "listen");
+        let discovery = pick(file.discovery, "ROUTER_DISCOVERY", "discovery");
+        let mut address = |text: &str, key: &str| {
+            text.parse::<SocketAddr>().unwrap_or_else(|_| {
+                if !text.is_empty() {
+                    found.push(wrong(key, format!("'{text}' is not an address and port")));
+                }
+                SocketAddr::from(([127, 0, 0, 1], 0))
+            })
         };
-        let name = pick(file.name, "ROUTER_NAME")?;
-        let listen = address(pick(file.listen, "ROUTER_LISTEN")?, "ROUTER_LISTEN")?;
-        let discovery = address(pick(file.discovery, "ROUTER_DISCOVERY")?, "ROUTER_DISCOVERY")?;
-        let seed = match file.seed {
-            Some(hex) => u64::from_str_radix(&hex, 16).map_err(|_| format!("seed '{hex}' is not hex"))?,
+        let listen = address(&listen, "listen");
+        let discovery = address(&discovery, "discovery");
+        let seed = match &file.seed {
+            Some(hex) => u64::from_str_radix(hex, 16).unwrap_or_else(|_| {
+                found.push(wrong("seed", format!("'{hex}' is not a hex number of 64 bits")));
+                0
+            }),
             None => u64::from(std::process::id()),
         };
         let server_idle = file.settings.bounds.idle_close_ms.unwrap_or(IDLE_MS);
         if !server_idle.is_finite() || server_idle < 0.0 {
-            return Err(format!("IdleCloseMs {server_idle} is not a time"));
+            found.push(wrong("settings.Bounds.IdleCloseMs", format!("{server_idle} is not a time")));
         }
         let drain_ms = drain_ms(&file.settings);
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
-        let (settings, names) = wire::settings(file.settings).map_err(|e| format!("settings: {e}"))?;
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
         let all = file.limits.sockets.min(by_memory.max(0.0) as usize);
         if all < 64 {
-            return Err(format!("limits leave room for {all} connections, 64 at least are needed"));
+            let what = format!("leave room for {all} connections, 64 at least are needed");
+            found.push(wrong("limits", what));
+        }
+        let (settings, names) = match wire::settings(file.settings) {
+            Ok(both) => both,
+            Err(e) => {
+                found.push(wrong("settings", e));
+                return Err(found);
+            }
+        };
+        found.extend(fawnhill::mistakes(&settings).into_iter().map(|what| wrong("settings", what)));
+        if !found.is_empty() {
+            return Err(found);
         }
         Ok(Config {
             name,
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -1,18 +1,20 @@
 //! The host of the engine: gives it the time and does what it asks. Owns neither clients' nor servers' sockets.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use fawnhill::{Condition, Outcome, Request, RequestId, ServerId};
 use hyper::header::HeaderValue;
 use marldeal_engine::{Engine, Input, Output};
+use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
 use tokio::net::UdpSocket;
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::config::Config;
 use crate::roster::{self, News, Sources};
@@ -90,9 +92,29 @@
     answer: oneshot::Sender<Answer>,
 }
 
+/// What a stream of a proxy is told.
+#[derive(Debug)]
+pub struct Word {
+    /// The verdict.
+    pub verdict: Verdict,
+    /// Where the granted attempt goes.
+    pub node: Option<SocketAddr>,
+    /// Milliseconds that it may take.
+    pub left_ms: f64,
+}
+
+/// Requests that proxies carry out.
+struct Proxied {
+    machine: External,
+    streams: HashMap<StreamId, mpsc::Sender<Word>>,
+}
+
 struct State {
     engine: Engine,
-    outputs: Vec<Output>,
+    proxied: Option<Proxied>,
+    outputs: VecDeque<Output>,
+    /// Keeps its room from call to call.
+    spare: Vec<Output>,
     direct: HashMap<RequestId, Direct>,
     /// Calls off each attempt that is out.
     out: HashMap<(RequestId, u32), oneshot::Sender<Outcome>>,
@@ -104,7 +126,10 @@
 impl State {
     /// Notes when the engine is due next; true if that has changed.
     fn rearm(&mut self) -> bool {
-        let next = self.engine.next_due();
+        let mut next = self.engine.next_due();
+        if let Some(proxied) = &mut self.proxied {
+            next = next.into_iter().chain(proxied.machine.next_due()).min_by(f64::total_cmp);
+        }
         std::mem::replace(&mut self.armed, next) != next
     }
 }
@@ -112,7 +137,7 @@
 /// The engine with all that surrounds it; one thread, so that nothing is locked.
 pub struct Driver {
     /// As told at the start.
-    pub config: Config,
+    pub config: Arc<Config>,
     /// Where the list of servers comes from.
     pub sources: Sources,
     /// The module wants the list: ends the watch's waiting.
@@ -137,7 +162,7 @@
 impl Driver {
     /// A limiter with the list of servers that it last had.
     pub fn new(
-        config: Config,
+        config: Arc<Config>,
         upstream: Rc<dyn Upstream>,
         mail: Option<Rc<UdpSocket>>,
     ) -> Result<Rc<Driver>, String> {
@@ -146,7 +171,9 @@
             .map_err(|e| format!("settings: {e}"))?;
         let state = State {
             engine,
-            outputs: Vec::new(),
+            proxied: None,
+            outputs: VecDeque::new(),
+            spare: Vec::new(),
             direct: HashMap::new(),
             out: HashMap::new(),
             addresses: HashMap::new(),
@@ -295,15 +322,75 @@
         self.perform(&mut state, body);
     }
 
+    /// Proxies may ask from now on.
+    pub fn serve_proxies(&self, bounds: Bounds) {
+        let machine = External::new(bounds, &self.config.settings);
+        self.state.borrow_mut().proxied = Some(Proxied { machine, streams: HashMap::new() });
+    }
+
+    /// Something that a stream said. `words` is where a stream that presents a request hears its verdicts.
+    pub fn proxied(self: &Rc<Self>, input: external::Input, words: Option<mpsc::Sender<Word>>) {
+        let mut state = self.state.borrow_mut();
+        if let (external::Input::Presented { stream, .. }, Some(words), Some(proxied)) =
+            (&input, words, &mut state.proxied)
+        {
+            proxied.streams.insert(*stream, words);
+        }
+        let closed = match input {
+            external::Input::Closed { stream } => Some(stream),
+            _ => None,
+        };
+        self.give(&mut state, input);
+        if let (Some(stream), Some(proxied)) = (closed, &mut state.proxied) {
+            proxied.streams.remove(&stream);
+        }
+        self.perform(&mut state, None);
+    }
+
+    /// Requests of proxies that are open, and what has happened since the start.
+    pub fn proxied_counts(&self) -> (usize, Counts) {
+        let state = self.state.borrow();
+        state.proxied.as_ref().map_or((0, Counts::default()), |p| (p.machine.open(), p.machine.counts()))
+    }
+
+    fn give(&self, state: &mut State, input: external::Input) {
+        let State { engine, proxied: Some(proxied), addresses, outputs, .. } = state else { return };
+        let now = self.now();
+        let mut out = Vec::new();
+        proxied.machine.handle(now, input, engine, &mut out);
+        for item in out {
+            match item {
+                external::Out::Engine(output) => outputs.push_back(output),
+                external::Out::Reply { stream, verdict } => {
+                    let grant = match &verdict {
+                        Verdict::Go(grant) | Verdict::Retry(grant) => Some(grant),
+                        _ => None,
+                    };
+                    let node = grant.and_then(|g| addresses.get(&g.server)).copied();
+                    let left_ms = grant.map_or(0.0, |g| g.end - now);
+                    // A stream that is gone, or takes nothing in, has its end told by another way.
+                    if let Some(words) = proxied.streams.get(&stream) {
+                        let _ = words.try_send(Word { verdict, node, left_ms });
+                    }
+                }
+            }
+        }
+    }
+
     fn input(&self, state: &mut State, input: Input) -> Option<RequestId> {
-        state.engine.handle(self.now(), input, &mut state.outputs)
+        let id = state.engine.handle(self.now(), input, &mut state.spare);
+        state.outputs.extend(state.spare.drain(..));
+        id
     }
 
     /// Does what the engine asks. `body` belongs to the attempt that has just ended: the only one that can have
     /// served its request.
     fn perform(self: &Rc<Self>, state: &mut State, mut body: Option<Bytes>) {
-        let mut outputs = std::mem::take(&mut state.outputs);
-        for output in outputs.drain(..) {
+        while let Some(output) = state.outputs.pop_front() {
+            if state.proxied.as_ref().is_some_and(|p| p.machine.owns(&output)) {
+                self.give(state, external::Input::Engine(output));
+                continue;
+            }
             match output {
                 Output::Send { id, attempt, server, end } => {
                     let Some(direct) = state.direct.get(&id) else { continue };
@@ -339,7 +426,6 @@
                 Output::Log(line) => self.log(&line),
             }
         }
-        state.outputs = outputs;
         if state.rearm() {
             self.timers_changed.notify_one();
         }
@@ -362,6 +448,7 @@
             let armed = {
                 let mut state = self.state.borrow_mut();
                 self.input(&mut state, Input::Due);
+                self.give(&mut state, external::Input::Due);
                 // Armed here already: what is due next is no news to this loop.
                 state.rearm();
                 self.perform(&mut state, None);
--- a/marldeal/src/head.rs
+++ b/marldeal/src/head.rs
@@ -21,7 +21,50 @@
 const MOST_TIME_LEFT: f64 = 3600.0;
 const KEPT_TIME_LEFT: f64 = 60.0;
 
+/// Which header tells what. The default is the platform's protocol.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// Names the request.
+    pub correlation: HeaderName,
+    /// Names the plan.
+    pub plan: HeaderName,
+    /// Seconds that the client will wait.
+    pub time_left: HeaderName,
+    /// `units`, `spread` and `first`.
+    pub weight: HeaderName,
+    /// Marks repeats of one effect.
+    pub key: HeaderName,
+    /// Names the class, in place of the first part of the path; the method is not looked at then.
+    pub class: Option<HeaderName>,
+    /// Names the customer, in place of the last part of the path.
+    pub customer: Option<HeaderName>,
+    /// The plan where no header names one.
+    pub default_plan: Option<String>,
+    /// The seconds where no header tells any.
+    pub default_time_left_s: Option<f64>,
+    /// The weight where no header tells one.
+    pub default_weight: Option<String>,
+}
+
+impl Default for Layout {
+    fn default() -> Layout {
+        Layout {
+            correlation: CORRELATION,
+            plan: PLAN,
+            time_left: TIME_LEFT,
+            weight: WEIGHT,
+            key: KEY,
+            class: None,
+            customer: None,
+            default_plan: None,
+            default_time_left_s: None,
+            default_weight: None,
+        }
+    }
+}
+
 /// What a request's head says.
+#[derive(Debug)]
 pub struct Told {
     /// In the module's terms; its id is still to be given.
     pub request: Request,
@@ -37,44 +80,56 @@
 pub type Bad = (StatusCode, &'static str);
 
 /// Reads a head whole; what is malformed or unknown reaches neither the module nor a server.
-pub fn read(config: &Config, head: &hyper::http::request::Parts) -> Result<Told, Bad> {
+pub fn read(config: &Config, layout: &Layout, head: &hyper::http::request::Parts) -> Result<Told, Bad> {
     let bad = |why| (StatusCode::BAD_REQUEST, why);
     // Guards against a request hidden in a body: hyper lets the coding win and may drop the length, another
     // reader may go by that. Clients tell the length here.
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return Err((StatusCode::LENGTH_REQUIRED, "a body comes with its length"));
     }
-    let named = [CORRELATION, KEY, TIME_LEFT, PLAN, WEIGHT];
-    if named.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
+    let named = [&layout.correlation, &layout.key, &layout.time_left, &layout.plan, &layout.weight];
+    let named = named.into_iter().chain(&layout.class).chain(&layout.customer);
+    if named.into_iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
         return Err(bad("a header that may come once comes twice"));
     }
     let names = &config.names;
     let settings = &config.settings;
-    let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
-    let (Some(class), Some(customer), None) = (parts.next(), parts.next(), parts.next()) else {
-        return Err((StatusCode::NOT_FOUND, "no such path"));
-    };
-    let class = names.class(class).ok_or_else(|| bad("unknown class"))?;
-    let customer = Some(customer)
+    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
+    let (mut class, mut customer) = (None, None);
+    if layout.class.is_none() || layout.customer.is_none() {
+        let mut parts = head.uri.path().strip_prefix('/').unwrap_or_default().split('/');
+        (class, customer) = (parts.next(), parts.next());
+        if customer.is_none() || parts.next().is_some() {
+            return Err((StatusCode::NOT_FOUND, "no such path"));
+        }
+    }
+    let class = layout.class.as_ref().map_or(class, text);
+    let customer = layout.customer.as_ref().map_or(customer, text);
+    let class = class.and_then(|c| names.class(c)).ok_or_else(|| bad("unknown class"))?;
+    let customer = customer
         .filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()))
         .and_then(|c| u64::from_str_radix(c, 16).ok())
         .filter(|c| *c < 1 << 33)
         .ok_or_else(|| bad("the customer is not 16 hex digits below 2^33"))?;
     let effect = settings.classes.get(class).map_or(Effect::Unsafe, |c| c.effect);
-    if head.method != if effect == Effect::Safe { Method::GET } else { Method::POST } {
+    let method = if effect == Effect::Safe { Method::GET } else { Method::POST };
+    if head.method != method && layout.class.is_none() {
         return Err((StatusCode::METHOD_NOT_ALLOWED, "not this class's method"));
     }
-    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim);
-    let plan = text(&PLAN).and_then(|p| names.plan(p)).ok_or_else(|| bad("no known X-Tariff"))?;
-    let left_s = text(&TIME_LEFT)
-        .and_then(|t| t.parse::<f64>().ok())
-        .filter(|t| (0.0..=MOST_TIME_LEFT).contains(t))
-        .ok_or_else(|| bad("no good X-Time-Left"))?;
-    let (units, spread, first) = text(&WEIGHT)
+    let plan = text(&layout.plan).or(layout.default_plan.as_deref());
+    let plan = plan.and_then(|p| names.plan(p)).ok_or_else(|| bad("no known X-Tariff"))?;
+    let left_s = match text(&layout.time_left) {
+        Some(told) => told.parse::<f64>().ok(),
+        None => layout.default_time_left_s,
+    };
+    let left_s =
+        left_s.filter(|t| (0.0..=MOST_TIME_LEFT).contains(t)).ok_or_else(|| bad("no good X-Time-Left"))?;
+    let (units, spread, first) = text(&layout.weight)
+        .or(layout.default_weight.as_deref())
         .and_then(|w| weight(w, settings.limiters, config.most_units))
         .ok_or_else(|| bad("no good X-Weight"))?;
-    let correlation = full(&head.headers, &CORRELATION).ok_or_else(|| bad("no X-Correlation-Id"))?;
-    let key = full(&head.headers, &KEY);
+    let correlation = full(&head.headers, &layout.correlation).ok_or_else(|| bad("no X-Correlation-Id"))?;
+    let key = full(&head.headers, &layout.key);
     if effect == Effect::Keyed && key.is_none() {
         return Err(bad("no Idempotency-Key"));
     }
--- /dev/null
+++ b/marldeal/src/lib.rs
@@ -0,0 +1,29 @@
+//! The limiter as a library: fronts and I/O round `marldeal-engine`. It composes; what is decided, is decided in
+//! `fawnhill` and in crates without I/O.
+//!
+//! ```
+//! // A file that switches something on is read whole, and each mistake is named.
+//! let path = std::env::temp_dir().join("marldeal-doc-example.toml");
+//! std::fs::write(&path, "[external_processor]\nlisten = \"127.0.0.1:0\"\nmax_conections = 4\n")?;
+//! let found = marldeal::extensions::Extensions::from_file(&path).unwrap_err();
+//! assert_eq!(found[0].key, "external_processor.max_conections");
+//! # std::fs::remove_file(path)?;
+//! # Ok::<(), std::io::Error>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod clients;
+pub mod config;
+pub mod demo;
+pub mod discovery;
+pub mod driver;
+pub mod extensions;
+pub mod external;
+pub mod head;
+pub mod mistakes;
+pub mod peers;
+pub mod roster;
+pub mod run;
+pub mod servers;
+pub mod words;
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -1,30 +1,54 @@
-//! The real limiter: one program that puts the decisions of `fawnhill` on sockets. Start, signals, exit.
+//! The command line. Without arguments: one limiter, as the environment configures it.
 #![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
-mod clients;
-mod config;
-mod discovery;
-mod driver;
-mod head;
-mod peers;
-mod roster;
-mod servers;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
 
-use tokio::net::{TcpListener, UdpSocket};
-use tokio::runtime::{Builder, LocalOptions};
-use tokio::signal::unix::{signal, SignalKind};
+use clap::{Parser, Subcommand};
+use marldeal::config::Config;
+use marldeal::extensions::Extensions;
+use marldeal::mistakes::Mistake;
+
+/// A quota-keeping limiter. Without a command it serves, configured by ROUTER_CONFIG.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// Switches on what stands in this TOML file.
+    #[arg(long, value_name = "FILE")]
+    extensions: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Reads configuration (.json) and extension files (.toml) and names each mistake.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Runs nodes, discovery, two limiters and some firms' traffic on loopback, and drains a node half way.
+    Demo {
+        /// How long the traffic lasts.
+        #[arg(long, default_value_t = 20.0, value_parser = seconds)]
+        seconds: f64,
+    },
+}
 
-use config::Config;
-use driver::Driver;
-use servers::Servers;
+fn seconds(text: &str) -> Result<f64, String> {
+    let number = text.parse::<f64>().ok().filter(|s| (1.0..=600.0).contains(s));
+    number.ok_or_else(|| "a number of seconds from 1 to 600 is expected".to_string())
+}
 
 fn main() -> ExitCode {
-    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-    match runtime.map_err(|e| format!("cannot start: {e}")).and_then(|runtime| runtime.block_on(run())) {
+    let arguments = Arguments::parse();
+    let done = match arguments.command {
+        None => marldeal::run::run(arguments.extensions.as_deref()),
+        Some(Command::Check { files }) => check(&files),
+        Some(Command::Demo { seconds }) => marldeal::demo::run(seconds),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("marldeal: {why}");
@@ -33,43 +57,30 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT, then finishes what was taken.
-async fn run() -> Result<(), String> {
-    // Before all else: until it is handled, a SIGHUP ends the program.
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
-    let config = Config::from_environment()?;
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let mail = match config.peer_listen {
-        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
-        None => None,
-    };
-    let servers = Servers::new(&config);
-    let driver = Driver::new(config, Rc::new(servers.clone()), mail.clone())?;
-    let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
-    driver.log(&format!("serves on {at}"));
-    if let Some(mail) = mail {
-        tokio::task::spawn_local(peers::listen(driver.clone(), mail));
-    }
-    tokio::task::spawn_local(driver.clone().run_timers());
-    tokio::task::spawn_local(async move { servers.sweep().await });
-    tokio::task::spawn_local(discovery::watch(driver.clone()));
-    let reloading = driver.clone();
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reloading.reload();
+fn check(files: &[PathBuf]) -> Result<(), String> {
+    let mut wrong = 0;
+    for file in files {
+        let found = mistakes(file);
+        for mistake in &found {
+            println!("{mistake}");
         }
-    });
-    let stop = async move {
-        tokio::select! {
-            _ = term.recv() => "SIGTERM",
-            _ = int.recv() => "SIGINT",
+        if found.is_empty() {
+            println!("{}: good", file.display());
         }
-    };
-    clients::serve(&driver, listener, stop).await;
-    driver.log("stops");
-    Ok(())
+        wrong += found.len();
+    }
+    match wrong {
+        0 => Ok(()),
+        1 => Err("1 mistake".to_string()),
+        n => Err(format!("{n} mistakes")),
+    }
+}
+
+fn mistakes(file: &Path) -> Vec<Mistake> {
+    let name = file.display().to_string();
+    match file.extension().and_then(|e| e.to_str()) {
+        Some("json") => Config::from_file(&name, |_| None).err().unwrap_or_default(),
+        Some("toml") => Extensions::from_file(file).err().unwrap_or_default(),
+        _ => vec![Mistake::new(&name, "", "a configuration (.json) or extension file (.toml) is expected")],
+    }
 }
--- /dev/null
+++ b/marldeal/src/mistakes.rs
@@ -0,0 +1,142 @@
+//! What is wrong in a file: which file, which key, and what was expected. All of it, not only the first.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// One thing that is wrong in a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    /// Path of the file, as it was given.
+    pub file: String,
+    /// The key, with dots between tables; empty for the file as a whole.
+    pub key: String,
+    /// What is wrong with it, or what was expected.
+    pub what: String,
+}
+
+impl Mistake {
+    /// A mistake at a key.
+    pub fn new(file: &str, key: &str, what: impl Into<String>) -> Mistake {
+        Mistake { file: file.to_string(), key: key.to_string(), what: what.into() }
+    }
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.key.as_str() {
+            "" => write!(f, "{}: {}", self.file, self.what),
+            key => write!(f, "{}: {key}: {}", self.file, self.what),
+        }
+    }
+}
+
+/// The first mistake in one plain line, and how many there are beside it.
+pub fn one_line(mistakes: &[Mistake]) -> String {
+    let more = match mistakes.len() {
+        0 | 1 => String::new(),
+        n => format!(" (and {} more; `marldeal check` shows them)", n - 1),
+    };
+    let first = mistakes.first().map(ToString::to_string).unwrap_or_default();
+    format!("{first}{more}").replace('\n', " ")
+}
+
+/// Most mistakes that one file is searched for.
+const MOST: usize = 50;
+
+/// Reads a value whole. What does not fit is noted, taken out, and the rest is read again, so that each mistake shows.
+pub fn gather<T: DeserializeOwned>(file: &str, mut value: Value) -> Result<T, Vec<Mistake>> {
+    let mut found: Vec<Mistake> = Vec::new();
+    while found.len() < MOST {
+        let error = match serde_path_to_error::deserialize::<_, T>(value.clone()) {
+            Ok(read) if found.is_empty() => return Ok(read),
+            Ok(_) => break,
+            Err(error) => error,
+        };
+        let path: Vec<String> = error.path().iter().map(|s| s.to_string()).filter(|s| s != "?").collect();
+        let text = error.inner().to_string();
+        let quoted = |lead: &str| text.strip_prefix(lead)?.split('`').next();
+        if let Some(field) = quoted("missing field `") {
+            let key = joined(&path, Some(field));
+            // Taken out above, for it did not fit: said already.
+            if !found.iter().any(|m| m.key == key) {
+                found.push(Mistake::new(file, &key, "missing"));
+            }
+            break;
+        }
+        let mut path = path;
+        if let Some(field) = quoted("unknown field `") {
+            if path.last().map(String::as_str) != Some(field) {
+                path.push(field.to_string());
+            }
+        }
+        found.push(Mistake::new(file, &joined(&path, None), text));
+        if !remove(&mut value, &path) {
+            break;
+        }
+    }
+    Err(found)
+}
+
+fn joined(path: &[String], last: Option<&str>) -> String {
+    let mut text = String::new();
+    for part in path.iter().map(String::as_str).chain(last) {
+        if !text.is_empty() && !part.starts_with('[') {
+            text.push('.');
+        }
+        text.push_str(part);
+    }
+    text
+}
+
+/// Takes out what stands at a path; false if nothing does, or if it is an element whose place others count on.
+fn remove(value: &mut Value, path: &[String]) -> bool {
+    let Some((last, parents)) = path.split_last() else { return false };
+    let mut at = value;
+    for part in parents {
+        let next = match part.strip_prefix('[').and_then(|p| p.strip_suffix(']')) {
+            Some(index) => index.parse::<usize>().ok().and_then(|i| at.get_mut(i)),
+            None => at.get_mut(part.as_str()),
+        };
+        match next {
+            Some(next) => at = next,
+            None => return false,
+        }
+    }
+    at.as_object_mut().is_some_and(|table| table.remove(last).is_some())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(serde::Deserialize, Debug)]
+    #[serde(deny_unknown_fields)]
+    #[allow(dead_code)]
+    struct Inner {
+        #[serde(default)]
+        number: u32,
+        #[serde(default)]
+        flag: bool,
+    }
+
+    #[derive(serde::Deserialize, Debug)]
+    #[allow(dead_code)]
+    struct Outer {
+        inner: Inner,
+        all: Vec<Inner>,
+        name: String,
+    }
+
+    #[test]
+    fn each_mistake_is_named_with_its_key() {
+        let text = r#"{"inner":{"number":"x","flagg":true,"flag":3},"all":[{},{"number":-1}]}"#;
+        let value = serde_json::from_str(text).expect("JSON");
+        let found = gather::<Outer>("f.json", value).expect_err("mistakes");
+        let keys: Vec<&str> = found.iter().map(|m| m.key.as_str()).collect();
+        assert_eq!(keys, ["all[1].number", "inner.flag", "inner.flagg", "inner.number", "name"], "{found:?}");
+        assert!(found[2].what.contains("expected"), "{}", found[2]);
+        assert!(found[4].to_string().starts_with("f.json: name: missing"));
+    }
+}
--- /dev/null
+++ b/marldeal/src/run.rs
@@ -0,0 +1,90 @@
+//! Puts the parts together and serves until told to stop.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+use crate::config::Config;
+use crate::driver::Driver;
+use crate::extensions::Extensions;
+use crate::servers::Servers;
+use crate::{clients, discovery, external, mistakes, peers};
+
+/// Runs a limiter as the environment configures it, with what a file switches on beside.
+///
+/// # Errors
+/// One plain line: what cannot be read, or listened on.
+pub fn run(extensions: Option<&Path>) -> Result<(), String> {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(serve(extensions))
+}
+
+/// Serves until SIGTERM or SIGINT, then finishes what was taken.
+async fn serve(extensions: Option<&Path>) -> Result<(), String> {
+    // Before all else: until it is handled, a SIGHUP ends the program.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    let config = Arc::new(Config::from_environment()?);
+    let extensions = match extensions {
+        Some(path) => Extensions::from_file(path).map_err(|found| mistakes::one_line(&found))?,
+        None => Extensions::default(),
+    };
+    let listener = listen(config.listen).await?;
+    let mail = match config.peer_listen {
+        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
+        None => None,
+    };
+    let servers = Servers::new(&config);
+    let driver = Driver::new(config, Rc::new(servers.clone()), mail.clone())?;
+    let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+    let (stop, stopped) = watch::channel(false);
+    let stop = Rc::new(stop);
+    let proxies = match extensions.external_processor {
+        Some(options) => {
+            let listener = listen(options.listen).await?;
+            let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+            driver.log(&format!("external processor on {at}"));
+            let serving = external::serve(driver.clone(), options, listener, stopped);
+            Some(tokio::task::spawn_local(serving))
+        }
+        None => None,
+    };
+    driver.log(&format!("serves on {at}"));
+    if let Some(mail) = mail {
+        tokio::task::spawn_local(peers::listen(driver.clone(), mail));
+    }
+    tokio::task::spawn_local(driver.clone().run_timers());
+    tokio::task::spawn_local(async move { servers.sweep().await });
+    tokio::task::spawn_local(discovery::watch(driver.clone()));
+    let reloading = driver.clone();
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            reloading.reload();
+        }
+    });
+    let stopping = stop.clone();
+    let signalled = async move {
+        let why = tokio::select! {
+            _ = term.recv() => "SIGTERM",
+            _ = int.recv() => "SIGINT",
+        };
+        let _ = stopping.send(true);
+        why
+    };
+    clients::serve(&driver, listener, signalled).await;
+    if let Some(proxies) = proxies {
+        let _ = proxies.await;
+    }
+    driver.log("stops");
+    Ok(())
+}
+
+async fn listen(at: std::net::SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
+}
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -14,8 +14,9 @@
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::HeaderName;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 use hyper_util::rt::TokioIo;
+use marldeal_engine::outcomes;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -205,13 +206,8 @@
             }
         }
         let unprocessed = head.headers.get(UNPROCESSED).is_some_and(|v| v == "1");
-        match head.status {
-            StatusCode::OK => (Outcome::Ok, Some(whole.freeze())),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => {
-                (Outcome::Full, None)
-            }
-            _ => (Outcome::Error, None),
-        }
+        let outcome = outcomes::answered(head.status.as_u16(), unprocessed);
+        (outcome, (outcome == Outcome::Ok).then(|| whole.freeze()))
     };
     let (outcome, body, mut ended) = drive(answer, connection).await;
     // Only a connection whose answer was read to its end may serve again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,4 +47,5 @@
 mod state;
 
 pub use interface::*;
+pub use legal::mistakes;
 pub use policy::Limiter;
