--- a/marldeal/src/external.rs
+++ b/marldeal/src/external.rs
@@ -115,6 +115,8 @@
     Answering,
     /// A good answer is on its way to the client, and counts once it has come whole.
     Trailing,
+    /// It has come whole, and has been told so.
+    Trailed,
     /// Nothing more is decided here.
     Done,
 }
@@ -168,7 +170,7 @@
                     }
                     match (&word.verdict, stage) {
                         // Its answer is on its way already.
-                        (Verdict::Pass, Stage::Trailing) => {
+                        (Verdict::Pass, Stage::Trailing | Stage::Trailed) => {
                             held = None;
                             stage = Stage::Done;
                             continue;
@@ -284,6 +286,7 @@
                     }
                     if let (Phase::ResponseTrailers(_), Stage::Trailing, Some((leave, _))) = (phase, stage, &held) {
                         leave.say(responded(leave, fawnhill::Outcome::Ok), None);
+                        stage = Stage::Trailed;
                     }
                     let Some(answer) = words::carry_on(phase) else { break };
                     if !matches!(stage, Stage::Asked | Stage::Answering) {
--- a/marldeal/src/mistakes.rs
+++ b/marldeal/src/mistakes.rs
@@ -66,13 +66,15 @@
             break;
         }
         let mut path = path;
-        if let Some(field) = quoted("unknown field `") {
-            if path.last().map(String::as_str) != Some(field) {
-                path.push(field.to_string());
+        let unknown = quoted("unknown field `").map(str::to_string);
+        if let Some(field) = &unknown {
+            if path.last() != Some(field) {
+                path.push(field.clone());
             }
         }
         found.push(Mistake::new(file, &joined(&path, None), text));
-        if !remove(&mut value, &path) {
+        let filled = unknown.is_none() && fill::<T>(&mut value, &path);
+        if !filled && !remove(&mut value, &path) {
             break;
         }
     }
@@ -90,21 +92,38 @@
     text
 }
 
-/// Takes out what stands at a path; false if nothing does, or if it is an element whose place others count on.
-fn remove(value: &mut Value, path: &[String]) -> bool {
-    let Some((last, parents)) = path.split_last() else { return false };
-    let mut at = value;
-    for part in parents {
-        let next = match part.strip_prefix('[').and_then(|p| p.strip_suffix(']')) {
-            Some(index) => index.parse::<usize>().ok().and_then(|i| at.get_mut(i)),
-            None => at.get_mut(part.as_str()),
+/// Puts something of another type where a value does not fit, so that what must be there still is; false if none of
+/// the types fits either.
+fn fill<T: DeserializeOwned>(value: &mut Value, path: &[String]) -> bool {
+    for stand_in in ["0", "\"\"", "false", "[]", "{}"] {
+        let mut tried = value.clone();
+        let Some(place) = at(&mut tried, path) else { return false };
+        *place = serde_json::from_str(stand_in).unwrap_or_default();
+        let error = serde_path_to_error::deserialize::<_, T>(tried.clone()).err();
+        let same = |e: serde_path_to_error::Error<serde_json::Error>| {
+            e.path().iter().map(ToString::to_string).eq(path.iter().cloned())
         };
-        match next {
-            Some(next) => at = next,
-            None => return false,
+        if !error.is_some_and(same) {
+            *value = tried;
+            return true;
         }
     }
-    at.as_object_mut().is_some_and(|table| table.remove(last).is_some())
+    false
+}
+
+/// What stands at a path.
+fn at<'a>(value: &'a mut Value, path: &[String]) -> Option<&'a mut Value> {
+    path.iter().try_fold(value, |at, part| match part.strip_prefix('[').and_then(|p| p.strip_suffix(']')) {
+        Some(index) => index.parse::<usize>().ok().and_then(|i| at.get_mut(i)),
+        None => at.get_mut(part.as_str()),
+    })
+}
+
+/// Takes out what stands at a path; false if nothing does, or if it is an element whose place others count on.
+fn remove(value: &mut Value, path: &[String]) -> bool {
+    let Some((last, parents)) = path.split_last() else { return false };
+    let table = at(value, parents).and_then(Value::as_object_mut);
+    table.is_some_and(|table| table.remove(last).is_some())
 }
 
 #[cfg(test)]
--- a/marldeal/tests/external.rs
+++ b/marldeal/tests/external.rs
@@ -707,6 +707,41 @@
     assert_eq!(server.arrivals(), 0);
 }
 
+/// With trailers asked for, a good answer counts once it has come whole: a proxy that breaks off before that reports a
+/// request that may have run, not a served one.
+#[tokio::test]
+async fn with_trailers_an_answer_counts_once_it_has_come_whole() {
+    let server = Stub::scripted(Script::default());
+    let mut node =
+        Node::proxied(&[("s-1", &server, "active")], same, "response_trailers = true\nagain_ms = 50");
+    let channel = channel(node.processor()).await;
+    let begun = || Phase::ResponseHeaders(headers(vec![(":status", "200".to_string())], false));
+    let mut whole = presented(&channel, &call("c-1", "book"), Some(1)).await;
+    let answer = whole.next().await.expect("an answer");
+    assert_eq!(answer.mode_override.map(|m| m.response_trailer_mode), Some(1), "trailers are asked for");
+    whole.send(begun()).await;
+    assert_eq!(told(&mut whole).await, "pass");
+    for _ in 0..2 {
+        whole.send(Phase::ResponseTrailers(ext::HttpTrailers::default())).await;
+        assert!(matches!(
+            whole.next().await.expect("an answer").response,
+            Some(Verdict::ResponseTrailers(_))
+        ));
+    }
+    let mut broken = presented(&channel, &call("c-2", "book"), Some(1)).await;
+    assert!(told(&mut broken).await.starts_with("go"));
+    broken.send(begun()).await;
+    assert_eq!(told(&mut broken).await, "pass");
+    drop(broken);
+    drop(whole);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let line = stop(&mut node);
+    assert!(
+        line.contains("0 open") && line.contains("served: 1,") && line.contains("unreported: 1"),
+        "{line}"
+    );
+}
+
 #[tokio::test]
 async fn the_health_service_says_when_requests_can_be_served() {
     use tonic_health::pb::{health_client::HealthClient, HealthCheckRequest};
