A late outcome never meets a later request of its name; one socket wrapper, one sample of traffic

Read over with a hostile eye: with push_final_answers off, a stream could report after its request's time was over and its name taken by another; it was left without a word until stream_ms, or told the other's verdict. A stream now remembers which request it presented, and is failed. A report after an attempt's time-out waits for the verdict to come. The test for it fails without the change (no reply).

--- a/crates/external/src/lib.rs
+++ b/crates/external/src/lib.rs
@@ -292,7 +292,8 @@
     classes: Vec<Class>,
     records: HashMap<Name, Record>,
     ids: HashMap<RequestId, Name>,
-    streams: HashMap<StreamId, Name>,
+    /// What each stream presented; the id tells it from a later request of the same name.
+    streams: HashMap<StreamId, (Name, RequestId)>,
     /// Whose record is to be looked at.
     timers: Timers<Name>,
     /// Names of standing verdicts, the oldest first; some may have been dropped or renewed since.
@@ -415,7 +416,7 @@
                 record.count(told.attempt);
                 record.until = f64::INFINITY;
                 record.state = State::Held(Some((stream, Asked::Presented)));
-                self.streams.insert(stream, told.name);
+                self.streams.insert(stream, (told.name, record.id));
             }
             State::Offered(_) => {
                 record.count(told.attempt);
@@ -428,7 +429,7 @@
                 let until = desk.now + self.bounds.handover_ms;
                 record.parked = Some((stream, until));
                 self.timers.push(until, told.name.clone());
-                self.streams.insert(stream, told.name);
+                self.streams.insert(stream, (told.name, record.id));
             }
             State::Out(..) | State::Held(Some(_)) => self.conflict(stream, Conflict::Open, desk),
         }
@@ -454,7 +455,7 @@
         self.counts.taken += 1;
         self.open += 1;
         self.ids.insert(id, name.clone());
-        self.streams.insert(stream, name.clone());
+        self.streams.insert(stream, (name.clone(), id));
         let record = Record {
             id,
             key,
@@ -480,7 +481,7 @@
         let State::Offered(grant) = &record.state else { return };
         let grant = grant.clone();
         record.until = f64::INFINITY;
-        self.streams.insert(stream, name.clone());
+        self.streams.insert(stream, (name.clone(), record.id));
         if desk.engine.takes(&grant.server) {
             record.state = State::Out(stream, grant.attempt);
             desk.reply(stream, Verdict::Go(grant));
@@ -491,31 +492,39 @@
     }
 
     fn responded(&mut self, stream: StreamId, outcome: Outcome, desk: &mut Desk) {
-        let Some(record) = self.streams.get(&stream).and_then(|name| self.records.get_mut(name)) else {
-            return;
-        };
-        match record.state {
-            State::Out(carrier, attempt) if carrier == stream => {
-                record.state = State::Held(Some((stream, Asked::Responded)));
-                desk.tell(Told::ended(record.id, attempt, outcome));
-            }
-            // The module has given the request up meanwhile: its verdict stands, whatever came later.
-            State::Over(answer) => {
+        let Some((name, id)) = self.streams.get(&stream).cloned() else { return };
+        match self.records.get_mut(&name).filter(|r| r.id == id) {
+            Some(record) => match record.state {
+                State::Out(carrier, attempt) if carrier == stream => {
+                    record.state = State::Held(Some((stream, Asked::Responded)));
+                    desk.tell(Told::ended(record.id, attempt, outcome));
+                }
+                // Its attempt's time was up; the verdict to come is told in answer to this.
+                State::Held(Some((holder, Asked::Nothing))) if holder == stream => {
+                    record.state = State::Held(Some((stream, Asked::Responded)));
+                }
+                // The module has given the request up meanwhile: its verdict stands, whatever came later.
+                State::Over(answer) => {
+                    self.streams.remove(&stream);
+                    desk.reply(stream, verdict(answer));
+                }
+                _ => {}
+            },
+            // Its verdict stands no more, and its name may be another's: what came late is promised nothing.
+            None => {
                 self.streams.remove(&stream);
-                desk.reply(stream, verdict(answer));
+                desk.reply(stream, Verdict::Fail);
             }
-            _ => {}
         }
     }
 
     fn unreported(&mut self, stream: StreamId, desk: &mut Desk) {
-        let Some(name) = self.streams.get(&stream).cloned() else { return };
-        let Some(record) = self.records.get(&name) else { return };
+        let Some((name, id)) = self.streams.get(&stream).cloned() else { return };
+        let Some(record) = self.records.get(&name).filter(|r| r.id == id) else { return };
         let State::Out(carrier, attempt) = record.state else { return };
         if carrier != stream {
             return;
         }
-        let id = record.id;
         self.streams.remove(&stream);
         self.counts.unreported += 1;
         self.blind.push_back((desk.now + self.bounds.assumed_ms, id, attempt));
@@ -524,8 +533,8 @@
     }
 
     fn closed(&mut self, stream: StreamId, desk: &mut Desk) {
-        let Some(name) = self.streams.remove(&stream) else { return };
-        let Some(record) = self.records.get_mut(&name) else { return };
+        let Some((name, id)) = self.streams.remove(&stream) else { return };
+        let Some(record) = self.records.get_mut(&name).filter(|r| r.id == id) else { return };
         if record.parked.is_some_and(|(parked, _)| parked == stream) {
             record.parked = None;
             return;
--- a/crates/external/tests/cases.rs
+++ b/crates/external/tests/cases.rs
@@ -152,6 +152,27 @@
     case.is_over();
 }
 
+/// An outcome that comes after its request's time, when another has the name: it is promised nothing, and the other is
+/// not disturbed.
+#[test]
+fn a_late_outcome_does_not_meet_a_later_request_of_its_name() {
+    let mut case = Case::new(Bounds { push: false, ..Bounds::default() });
+    assert!(is_go(&case.present(1, KEYED, Some(1))));
+    case.wait(4000.0);
+    assert!(is_go(&case.present(2, KEYED, Some(1))), "a new request");
+    assert_eq!(case.respond(1, Outcome::Ok), Some(Verdict::Fail));
+    assert_eq!(case.respond(2, Outcome::Ok), Some(Verdict::Pass));
+    assert!(is_go(&{
+        let name = (*b"c-2").into();
+        let presentation = Presentation { name, key: None, attempt: None, request: request(SAFE, FREE, 7) };
+        case.give(Input::Presented { stream: 3, presentation }).pop().map(|(_, verdict)| verdict)
+    }));
+    case.wait(4000.0);
+    assert_eq!(case.respond(3, Outcome::Ok), Some(Verdict::Fail), "nobody has its name");
+    assert_eq!(case.external.streams(), 0);
+    case.is_over();
+}
+
 #[test]
 fn standing_verdicts_are_bounded_and_the_oldest_make_way() {
     let mut case = Case::new(Bounds { most_standing: 10, ..Bounds::default() });
--- a/crates/external/tests/same.rs
+++ b/crates/external/tests/same.rs
@@ -10,7 +10,7 @@
 use fawnhill::{Condition, Outcome, Request};
 use marldeal_engine::{Answer, Engine, Input as Told, Output};
 use marldeal_external::*;
-use marldeal_standin::traffic::{draw, Call, Firm, Kind};
+use marldeal_standin::traffic::{draw, sample, Call};
 
 const LIMITERS: u32 = 3;
 const SECONDS: f64 = 30.0;
@@ -289,36 +289,6 @@
     }
 }
 
-fn firms() -> Vec<Firm> {
-    let firm = |customer, plan: &str, units_per_s, spread, first| Firm {
-        customer,
-        plan: plan.into(),
-        units_per_s,
-        spread,
-        first,
-    };
-    let mut firms = Vec::new();
-    // Inside, near and beyond the quotas of 1.5 and 4 units a second; a fleet that asks for three times its ceiling.
-    for n in 0..8 {
-        firms.push(firm(100 + n, "small-yard", [0.5, 1.4, 4.0, 1.0][n as usize % 4], 2, n as u32 % 3));
-        firms.push(firm(200 + n, "mill", [1.5, 3.8, 12.0, 3.0][n as usize % 4], 3, n as u32 % 3));
-    }
-    firms.push(firm(300, "fleet", 12.0, 3, 0));
-    firms.push(firm(301, "fleet", 96.0, 3, 1));
-    firms
-}
-
-fn kinds() -> [Kind; 2] {
-    let kind = |class: &str, keyed, share, units, budget_s| Kind {
-        class: class.into(),
-        keyed,
-        share,
-        units,
-        budget_s,
-    };
-    [kind("slot-check", false, 0.62, 1.0, 4.0), kind("pickup-book", true, 0.38, 2.0, 8.0)]
-}
-
 fn play(mode: Mode, seed: u64, calls: &[Call]) -> Figures {
     let retries = if let Mode::External(retries) = mode { retries } else { Retries::None };
     let engine = |l| Engine::new(settings(LIMITERS, l), seed ^ u64::from(l), 0.0).expect("good settings");
@@ -343,8 +313,10 @@
 
 #[test]
 fn external_mode_decides_as_direct_mode_does() {
+    // The greedy firm asks for three times its ceiling.
+    let (firms, kinds) = sample(96.0);
     for seed in [11, 12, 13] {
-        let calls = draw(seed, &firms(), &kinds(), LIMITERS, SECONDS);
+        let calls = draw(seed, &firms, &kinds, LIMITERS, SECONDS);
         assert!(calls.len() >= 3000, "seed {seed}: {}", calls.len());
         let direct = play(Mode::Direct, seed, &calls);
         assert_eq!(direct.finals.len(), calls.len(), "seed {seed}: each request is answered");
--- a/crates/standin/src/traffic.rs
+++ b/crates/standin/src/traffic.rs
@@ -123,6 +123,34 @@
     calls
 }
 
+/// Firms inside, near and beyond the quotas of three plans (1.5, 4 and 16 units a second) over three limiters, and the
+/// kinds of requests that they make. The last firm asks for `greedy` units a second on the plan `fleet`.
+pub fn sample(greedy: f64) -> (Vec<Firm>, [Kind; 2]) {
+    let firm = |customer, plan: &str, units_per_s, spread, first| Firm {
+        customer,
+        plan: plan.into(),
+        units_per_s,
+        spread,
+        first,
+    };
+    let mut firms = Vec::new();
+    for n in 0..8 {
+        let (which, first) = (n as usize % 4, n as u32 % 3);
+        firms.push(firm(100 + n, "small-yard", [0.5, 1.4, 4.0, 1.0][which], 2, first));
+        firms.push(firm(200 + n, "mill", [1.5, 3.8, 12.0, 3.0][which], 3, first));
+    }
+    firms.push(firm(300, "fleet", 12.0, 3, 0));
+    firms.push(firm(301, "fleet", greedy, 3, 1));
+    let kind = |class: &str, keyed, share, units, budget_s| Kind {
+        class: class.into(),
+        keyed,
+        share,
+        units,
+        budget_s,
+    };
+    (firms, [kind("slot-check", false, 0.62, 1.0, 4.0), kind("pickup-book", true, 0.38, 2.0, 8.0)])
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -5,9 +5,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Context;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,13 +18,13 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::driver::{Answer, Content, Driver};
 use crate::head::{self, Bad, Layout, MOST_BODY};
+use crate::tapped::{Tap, Tapped};
 
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
@@ -88,46 +87,13 @@
     }
 }
 
-/// A client's stream that tells when bytes come in: hyper says so only once a head is whole.
-struct Heard {
-    stream: TcpStream,
-    client: Rc<Client>,
-}
-
-impl AsyncRead for Heard {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        to: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = to.filled().len();
-        let done = Pin::new(&mut self.stream).poll_read(cx, to);
-        if to.filled().len() > before {
-            self.client.heard();
+/// Hyper says only once a head is whole that bytes have come.
+impl Tap for Rc<Client> {
+    fn read(&mut self, _: &mut Context<'_>, bytes: usize) -> io::Result<()> {
+        if bytes > 0 {
+            self.heard();
         }
-        done
-    }
-}
-
-impl AsyncWrite for Heard {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        Ok(())
     }
 }
 
@@ -271,7 +237,7 @@
     let serving = http1::Builder::new()
         .max_buf_size(MOST_HEAD)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(Heard { stream, client: client.clone() }), service);
+        .serve_connection(TokioIo::new(Tapped { stream, tap: client.clone() }), service);
     tokio::pin!(serving);
     let mut closing = false;
     loop {
--- a/marldeal/src/external.rs
+++ b/marldeal/src/external.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::Context;
 use std::time::Duration;
 
 use envoy_types::pb::envoy::service::auth::v3 as auth;
@@ -21,8 +21,7 @@
 use hyper::http::request::Parts;
 use hyper::StatusCode;
 use marldeal_external::{Input, Presentation, StreamId, Verdict};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, Instant, Sleep};
 use tokio_stream::Stream;
@@ -33,6 +32,7 @@
 use crate::driver::{Driver, Word};
 use crate::extensions::ExternalProcessor;
 use crate::head::{self, Bad, Told};
+use crate::tapped::{Tap, Tapped};
 use crate::words;
 
 /// A proxy is asked for more time once it has waited so long: well before the 200 ms that Envoy waits by default.
@@ -440,62 +440,32 @@
     }
 }
 
-/// A proxy's connection, with its place among those that may be open. One that is slow to say that it speaks HTTP/2
-/// is cut, so that silent ones do not keep the others out.
-struct Connection {
-    stream: TcpStream,
+/// A proxy's place among the connections that may be open. One that is slow to say that it speaks HTTP/2 is cut, so that
+/// silent ones do not keep the others out.
+struct Proxy {
     seen: usize,
     late: Option<Pin<Box<Sleep>>>,
     _place: OwnedSemaphorePermit,
 }
 
-impl Connected for Connection {
-    type ConnectInfo = TcpConnectInfo;
-
-    fn connect_info(&self) -> TcpConnectInfo {
-        self.stream.connect_info()
-    }
-}
-
-impl AsyncRead for Connection {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        to: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = to.filled().len();
-        let done = Pin::new(&mut self.stream).poll_read(cx, to);
-        if self.late.is_some() {
-            self.seen += to.filled().len() - before;
-            if self.seen >= PREFACE {
-                self.late = None;
-            } else if self.late.as_mut().is_some_and(|late| late.as_mut().poll(cx).is_ready()) {
-                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
-            }
+impl Tap for Proxy {
+    fn read(&mut self, cx: &mut Context<'_>, bytes: usize) -> io::Result<()> {
+        let Some(late) = &mut self.late else { return Ok(()) };
+        self.seen += bytes;
+        if self.seen >= PREFACE {
+            self.late = None;
+        } else if late.as_mut().poll(cx).is_ready() {
+            return Err(io::ErrorKind::TimedOut.into());
         }
-        done
+        Ok(())
     }
 }
 
-impl AsyncWrite for Connection {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+impl Connected for Tapped<Proxy> {
+    type ConnectInfo = TcpConnectInfo;
+
+    fn connect_info(&self) -> TcpConnectInfo {
+        self.stream.connect_info()
     }
 }
 
@@ -504,7 +474,7 @@
     listener: TcpListener,
     most: usize,
     log: mpsc::UnboundedSender<String>,
-) -> impl Stream<Item = io::Result<Connection>> {
+) -> impl Stream<Item = io::Result<Tapped<Proxy>>> {
     let places = Arc::new(Semaphore::new(most));
     let mut full = false;
     async_stream::stream! {
@@ -515,7 +485,7 @@
                         full = false;
                         let _ = stream.set_nodelay(true);
                         let late = Some(Box::pin(tokio::time::sleep(PREFACE_TIME)));
-                        yield Ok(Connection { stream, seen: 0, late, _place: place });
+                        yield Ok(Tapped { stream, tap: Proxy { seen: 0, late, _place: place } });
                     }
                     Err(_) => {
                         if !std::mem::replace(&mut full, true) {
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod roster;
 pub mod run;
 pub mod servers;
+pub mod tapped;
 pub mod words;
--- a/marldeal/tests/modes.rs
+++ b/marldeal/tests/modes.rs
@@ -14,7 +14,7 @@
 use marldeal_standin::client::Client;
 use marldeal_standin::node::{Fault, Script};
 use marldeal_standin::proxy::{Proxy, Shape};
-use marldeal_standin::traffic::{draw, Call, Firm, Kind};
+use marldeal_standin::traffic::{draw, sample, Call};
 use stubs::{Node, Stub};
 
 const LIMITERS: u32 = 3;
@@ -40,36 +40,8 @@
     Mixed,
 }
 
-fn firms() -> Vec<Firm> {
-    let firm = |customer, plan: &str, units_per_s, spread, first| Firm {
-        customer,
-        plan: plan.into(),
-        units_per_s,
-        spread,
-        first,
-    };
-    let mut firms = Vec::new();
-    // Inside, near and beyond the quotas; the second fleet firm asks for three times its ceiling.
-    for n in 0..8 {
-        firms.push(firm(100 + n, "small-yard", [0.5, 1.4, 4.0, 1.0][n as usize % 4], 2, n as u32 % 3));
-        firms.push(firm(200 + n, "mill", [1.5, 3.8, 12.0, 3.0][n as usize % 4], 3, n as u32 % 3));
-    }
-    firms.push(firm(300, "fleet", 12.0, 3, 0));
-    firms.push(firm(301, "fleet", 180.0, 3, 1));
-    firms
-}
-
-fn traffic() -> Vec<Call> {
-    let kind = |class: &str, keyed, share, units, budget_s| Kind {
-        class: class.into(),
-        keyed,
-        share,
-        units,
-        budget_s,
-    };
-    let kinds = [kind("slot-check", false, 0.62, 1.0, 4.0), kind("pickup-book", true, 0.38, LARGEST, 8.0)];
-    draw(SEED, &firms(), &kinds, LIMITERS, SECONDS)
-}
+/// The greedy firm asks for more than five times its ceiling.
+const GREEDY: f64 = 180.0;
 
 /// Addresses for datagrams between limiters, on a loopback address of this process's own: the limiters have to be
 /// told all of them before any of them has bound its own.
@@ -154,7 +126,8 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn quotas_come_out_alike_in_direct_external_and_mixed_mode() {
-    let calls = traffic();
+    let (firms, kinds) = sample(GREEDY);
+    let calls = draw(SEED, &firms, &kinds, LIMITERS, SECONDS);
     assert!(calls.len() >= 3000, "{}", calls.len());
     let fleets = [Mode::Direct, Mode::External, Mode::Mixed].map(|mode| (mode, start(mode)));
     let [direct, external, mixed] = &fleets;
@@ -168,7 +141,7 @@
         assert_eq!(at_once, Some(1), "{mode:?}: a request was at a node twice at once");
     }
     let mut wrong = Vec::new();
-    for firm in firms() {
+    for firm in firms {
         let (_, rate, store) = PLANS.iter().find(|(name, ..)| *name == firm.plan).expect("a plan");
         let bound = store + rate + LARGEST;
         let units = [&a, &b, &c].map(|figures| figures[&firm.customer].0);
