Stand-in counter: parts, queues, slowness, lost answers, restarts with counts or empty

Quotas without the counter, the next direction, needs a counter that fails as theirs did. It follows the protocol's counter calls and is started in tests or by hand (marldeal-standin counter; stop, start, start-empty and slow are typed).

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod counter;
 pub mod discovery;
 pub mod message;
 pub mod node;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::Response;
 use hyper_util::rt::TokioIo;
+use marldeal_standin::counter::{self, Counter};
 use marldeal_standin::discovery::{line, Discovery};
 use marldeal_standin::node::{Fault, Node, Script};
 use marldeal_standin::proxy::{Proxy, Shape};
@@ -52,6 +53,21 @@
         #[arg(long = "node", value_parser = node)]
         nodes: Vec<(String, SocketAddr)>,
     },
+    /// A counter that adds to named counts. Type `stop`, `start`, `start-empty` or `slow TIMES` to make it fail.
+    Counter {
+        /// Where to listen; port 0 for one from the kernel.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Parts that names lie on.
+        #[arg(long, default_value_t = 2)]
+        parts: usize,
+        /// Milliseconds that a call takes its part.
+        #[arg(long, default_value_t = 1.0)]
+        work_ms: f64,
+        /// Calls that may wait for a part.
+        #[arg(long, default_value_t = 100)]
+        queue: usize,
+    },
     /// A proxy that asks an external processor about each HTTP/1.1 request.
     Proxy {
         /// Where clients connect; port 0 for one from the kernel.
@@ -126,6 +142,35 @@
                 std::thread::park();
             }
         }
+        What::Counter { listen, parts, work_ms, queue } => {
+            if !(0.0..=60_000.0).contains(&work_ms) {
+                return Err(format!("work-ms {work_ms} is not between 0 and 60000"));
+            }
+            let counter = Counter::on(bind(listen)?, counter::Script { parts, work_ms, queue });
+            println!("counter on {}", counter.addr);
+            let mut up = true;
+            for text in std::io::stdin().lines().map_while(Result::ok) {
+                match (text.trim(), up) {
+                    ("stop", true) => counter.stop(),
+                    ("start", false) => counter.start(true),
+                    ("start-empty", false) => counter.start(false),
+                    (other, _) => match other.strip_prefix("slow ").map(str::parse::<f64>) {
+                        Some(Ok(times)) if (0.0..=1000.0).contains(&times) => counter.slow(times),
+                        _ => eprintln!(
+                            "'{other}' is not stop (when up), start, start-empty (when down) or slow TIMES"
+                        ),
+                    },
+                }
+                up = match text.trim() {
+                    "stop" => false,
+                    "start" | "start-empty" => true,
+                    _ => up,
+                };
+            }
+            loop {
+                std::thread::park();
+            }
+        }
         What::Proxy { listen, processor, retries } => {
             let listener = bind(listen)?;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/standin/tests/program.rs
+++ b/crates/standin/tests/program.rs
@@ -54,6 +54,20 @@
     assert!(lines.next().expect("a list").contains("\"version\":2"));
 }
 
+#[test]
+fn a_counter_stops_and_starts_empty_as_it_is_told() {
+    let (mut counter, addr) = start(&["counter", "--work-ms", "0"]);
+    let call = "POST /v2/numbers/a?delta=3&life_ms=60000 HTTP/1.1\r\nHost: x\r\n\r\n";
+    let ask = || TcpStream::connect(addr).ok().map(|mut stream| exchange(&mut stream, call).body);
+    assert_eq!(ask().as_deref(), Some("3"));
+    let mut tell = |text: &[u8]| counter.0.stdin.as_mut().expect("piped").write_all(text).expect("write");
+    tell(b"stop\n");
+    marldeal_standin::wait_for("the counter to refuse", || TcpStream::connect(addr).is_err());
+    tell(b"start-empty\n");
+    marldeal_standin::wait_for("the counter to be back", || TcpStream::connect(addr).is_ok());
+    assert_eq!(ask().as_deref(), Some("3"), "its counts are gone");
+}
+
 #[test]
 fn bad_arguments_are_named() {
     assert!(refused(&["node", "--listen", "192.0.2.1:0"]).contains("not a loopback address"));
