--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -266,11 +266,6 @@
         self.servers.get(server).copied().unwrap_or(false)
     }
 
-    /// Whether a server is on the roster.
-    pub fn knows(&self, server: &ServerId) -> bool {
-        self.servers.contains_key(server)
-    }
-
     /// A request could be served: a server takes work, and the module is ready to let requests in.
     pub fn ready(&self, now: Millis) -> bool {
         self.servers.values().any(|takes| *takes) && self.limiter.settled(now)
--- a/marldeal/src/external.rs
+++ b/marldeal/src/external.rs
@@ -345,10 +345,7 @@
         let mut pairs: Vec<(&str, &[u8])> =
             vec![(":method", http.method.as_bytes()), (":path", http.path.as_bytes())];
         match &http.header_map {
-            Some(map) => pairs.extend(map.headers.iter().map(|h| {
-                let raw = if h.raw_value.is_empty() { h.value.as_bytes() } else { &h.raw_value };
-                (h.key.as_str(), raw)
-            })),
+            Some(map) => pairs.extend(words::map_pairs(map)),
             None => pairs.extend(http.headers.iter().map(|(k, v)| (k.as_str(), v.as_bytes()))),
         }
         pairs.retain(|(name, _)| !name.starts_with(':') || matches!(*name, ":method" | ":path"));
--- a/marldeal/src/words.rs
+++ b/marldeal/src/words.rs
@@ -80,8 +80,12 @@
 
 /// The pairs of an ext_proc message.
 pub fn pairs(headers: &ext::HttpHeaders) -> Vec<(&str, &[u8])> {
-    let all = headers.headers.as_ref().map_or(&[][..], |map| &map.headers);
-    all.iter().map(|h| (h.key.as_str(), value(h))).collect()
+    headers.headers.as_ref().map_or_else(Vec::new, |map| map_pairs(map).collect())
+}
+
+/// The pairs of a header map.
+pub fn map_pairs(map: &core::HeaderMap) -> impl Iterator<Item = (&str, &[u8])> {
+    map.headers.iter().map(|h| (h.key.as_str(), value(h)))
 }
 
 /// What response headers say of the attempt.
