--- a/crates/bench/src/direct.rs
+++ b/crates/bench/src/direct.rs
@@ -26,7 +26,7 @@
 const ROUNDS: usize = 3;
 
 /// A node that answers at once; its thread is not measured.
-async fn node(listener: TcpListener) {
+pub async fn node(listener: TcpListener) {
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|_| async {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 
 mod direct;
 mod external;
+mod firms;
 mod process;
 
 use std::path::PathBuf;
@@ -35,6 +36,8 @@
         #[arg(long, default_value_t = 20_000)]
         count: usize,
     },
+    /// Many firms and floods of names: latency, CPU, memory, and what honest firms get.
+    Firms(firms::Options),
     /// The baseline of `external`; started by it.
     #[command(hide = true)]
     Echo,
@@ -51,6 +54,7 @@
     let done = match arguments.what {
         What::External { count } => external::run(&arguments.program, count),
         What::Direct { count } => direct::run(&arguments.program, count),
+        What::Firms(options) => firms::run(&arguments.program, &options),
         What::Echo => external::echo(),
         What::Pass { node } => direct::pass(node),
     };
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -60,12 +60,32 @@
     /// A limiter without quotas that takes all time, before nodes at these addresses. With `external` the address is
     /// the external processor's.
     pub fn limiter(program: &Path, discovery: SocketAddr, external: bool) -> Result<Process, String> {
+        Process::configured(program, discovery, external, r#"{"Name":"basic"}"#, 192.0)
+    }
+
+    /// A limiter that holds one plan, with so much memory.
+    pub fn limiter_with(
+        program: &Path,
+        discovery: SocketAddr,
+        plan: &str,
+        mb: f64,
+    ) -> Result<Process, String> {
+        Process::configured(program, discovery, false, plan, mb)
+    }
+
+    fn configured(
+        program: &Path,
+        discovery: SocketAddr,
+        external: bool,
+        plan: &str,
+        memory_mb: f64,
+    ) -> Result<Process, String> {
         let config = format!(
             r#"{{"name":"bench","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},
             "settings":{{"Balancers":1,"Position":0,"Zone":"a","Dcs":["a"],"RoundMs":4,"Discovery":"automatic",
             "Classes":[{{"Name":"look","AimMs":50000,"Effect":"read_like"}}],
-            "TiersOfService":[{{"Name":"basic"}}],"Bounds":{{"MostTries":3,"DialTimeoutMs":250,"Cancelling":true}},
+            "TiersOfService":[{plan}],"Bounds":{{"MostTries":3,"DialTimeoutMs":250,"Cancelling":true,"RetryAfter":true}},
             "Obligations":{{"StartCapacity":0.2,"ColdMs":9000,"FallMultiple":3,"TipAfterMs":2000}},
             "Domain":{{"MailPerS":60}}}}}}"#
         );
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -271,6 +271,11 @@
         self.servers.values().any(|takes| *takes) && self.limiter.settled(now)
     }
 
+    /// New names come so fast that the module refuses those it has never seen.
+    pub fn flooding(&self) -> bool {
+        self.limiter.flooding()
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.open.len()
--- a/crates/firms/src/lib.rs
+++ b/crates/firms/src/lib.rs
@@ -19,8 +19,8 @@
 //! }
 //! assert_eq!(table.len(), 2);
 //! // The first one was forgotten, what it owes was not.
-//! assert!(table.get(&1).is_none());
-//! assert!(debts.owed_until(&1) >= 500.0);
+//! assert!(table.get(&1u64).is_none());
+//! assert!(debts.owed_until(&1u64) >= 500.0);
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -39,6 +39,10 @@
 /// sooner.
 const EVICT_IDLE: Duration = Duration::from_millis(500);
 const EVICT_SILENT: Duration = Duration::from_millis(100);
+/// In a flood of new names a connection that was refused rests for so long, times the connections that are open, before
+/// its next request is taken up: answers to the flood then take a fifth or so of the core, and usual firms' requests do
+/// not wait behind all of them in each turn.
+const REST_EACH: Duration = Duration::from_micros(80);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
 /// A body that is too large is read on for so long and so far, so that its sender sees the answer.
@@ -58,6 +62,8 @@
     used: Cell<Instant>,
     /// When the request that has not come whole began; a new connection owes one from the start.
     begun: Cell<Option<Instant>>,
+    /// Its next request is taken up then.
+    rest: Cell<Option<Instant>>,
     layout: Rc<Layout>,
     /// Close between requests.
     close: Notify,
@@ -73,6 +79,7 @@
             reading: Cell::new(false),
             used: Cell::new(now),
             begun: Cell::new(Some(now)),
+            rest: Cell::new(None),
             layout,
             close: Notify::new(),
             cut: Notify::new(),
@@ -225,6 +232,10 @@
             client.busy.set(true);
             client.reading.set(true);
             let mut answer = respond(&driver, &client, request).await;
+            if answer.status() == StatusCode::TOO_MANY_REQUESTS && driver.flooding() {
+                let open = u32::try_from(clients.all.borrow().len()).unwrap_or(u32::MAX);
+                client.rest.set(Some(Instant::now() + REST_EACH.saturating_mul(open)));
+            }
             if clients.closing.get() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -279,7 +290,13 @@
         return plain(status, "");
     }
     let (head, body) = request.into_parts();
-    let read = match head::read(&driver.config, &client.layout, &head) {
+    let mut rested_ms = 0.0;
+    if let Some(until) = client.rest.take() {
+        let came = Instant::now();
+        tokio::time::sleep_until(until).await;
+        rested_ms = came.elapsed().as_secs_f64() * 1000.0;
+    }
+    let mut read = match head::read(&driver.config, &client.layout, &head) {
         Ok(read) => read,
         Err((status, why)) => return bad(status, why),
     };
@@ -293,6 +310,8 @@
     if head.method == Method::GET && !body.is_empty() {
         return bad(StatusCode::BAD_REQUEST, "a GET has no body");
     }
+    // The client's time has run while its connection rested.
+    read.request.budget_ms = (read.request.budget_ms - rested_ms).max(0.0);
     let content = Content {
         method: head.method,
         target: read.target,
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 
 use crate::config::Config;
-use crate::roster::{self, News, Sources};
+use crate::roster::{self, News, Sources, MOST_SERVERS};
 
 /// Time in milliseconds: Unix time at the start, then the steady clock. Discovery's start times need no
 /// conversion, and a limiter that starts again never sees a moment twice.
@@ -219,6 +219,11 @@
         told && !self.draining.get() && self.state.borrow().engine.ready(self.now())
     }
 
+    /// New names come so fast that the module refuses those it has never seen.
+    pub fn flooding(&self) -> bool {
+        self.state.borrow().engine.flooding()
+    }
+
     /// Reads the configuration again; of what it says only where discovery is can change while serving. One
     /// that makes no sense changes nothing.
     pub fn reload(&self) {
@@ -249,9 +254,21 @@
         self.apply(news);
     }
 
-    fn apply(self: &Rc<Self>, news: News) {
+    fn apply(self: &Rc<Self>, mut news: News) {
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
+        let told = news.entries.len();
+        let mut room = MOST_SERVERS - if news.whole { 0 } else { state.addresses.len() };
+        news.entries.retain(|(entry, _)| {
+            let known = !news.whole && state.addresses.contains_key(&entry.server);
+            let stays = known || entry.condition == Condition::Gone || room > 0;
+            room -= usize::from(stays && !known && entry.condition != Condition::Gone);
+            stays
+        });
+        if news.entries.len() < told {
+            let over = told - news.entries.len();
+            self.log(&format!("discovery: {over} servers beyond {MOST_SERVERS} were passed over"));
+        }
         if news.whole {
             state.addresses.retain(|id, _| {
                 let stays = news.entries.iter().any(|(e, _)| e.server == *id);
--- a/marldeal/src/roster.rs
+++ b/marldeal/src/roster.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// Most servers kept, and longest name of one: what a discovery gone wrong may cost.
+pub const MOST_SERVERS: usize = 10_000;
+const MOST_ID: usize = 256;
+/// Entries of one list that are spoken of in the log one by one.
+const MOST_NOTES: usize = 8;
+
 /// One server of a list.
 #[derive(Deserialize, Clone)]
 struct Line {
@@ -52,15 +58,26 @@
 /// so that starts need no conversion.
 pub fn news(list: List, names: &Names) -> (News, Vec<String>) {
     let mut notes = Vec::new();
+    let mut passed_over = 0;
+    let mut pass_over = |why: String| {
+        passed_over += 1;
+        if passed_over <= MOST_NOTES {
+            notes.push(format!("discovery: an entry was passed over: {why}"));
+        }
+    };
     let entry = |value: serde_json::Value| {
         // One entry that makes no sense must not cost the others.
         let line: Line = match serde_json::from_value(value) {
             Ok(line) => line,
             Err(e) => {
-                notes.push(format!("discovery: an entry was passed over: {e}"));
+                pass_over(e.to_string());
                 return None;
             }
         };
+        if line.id.len() > MOST_ID {
+            pass_over(format!("its id has {} bytes, {MOST_ID} at most", line.id.len()));
+            return None;
+        }
         let entry = ServerEntry {
             server: line.id.into(),
             // A zone that the settings do not name is no limiter's own.
@@ -77,6 +94,9 @@
         Some((entry, line.addr))
     };
     let entries = list.servers.into_iter().filter_map(entry).collect();
+    if passed_over > MOST_NOTES {
+        notes.push(format!("discovery: {} more entries were passed over", passed_over - MOST_NOTES));
+    }
     (News { whole: list.full, entries }, notes)
 }
 
--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -256,6 +256,21 @@
     assert_eq!(ask(&node, &get("look", "")).body, "moved");
 }
 
+/// Guards against memory that a discovery gone wrong could take: servers without end, and names without end.
+#[test]
+fn a_roster_without_end_is_cut() {
+    let one = Stub::new(|_, stream| write_ok(stream, "one"));
+    let node = Node::start(&[("s-1", &one, "active")]);
+    let ids: Vec<String> = (0..10_050).map(|n| format!("d-{n}")).collect();
+    let entries: Vec<_> = ids.iter().map(|id| (id.as_str(), one.addr, "leaving")).collect();
+    node.discovery.push(&line(2, false, &entries));
+    node.wait_log("51 servers beyond 10000 were passed over");
+    let long = "n".repeat(300);
+    node.discovery.push(&line(3, false, &[(&long, one.addr, "active")]));
+    node.wait_log("its id has 300 bytes, 256 at most");
+    assert_eq!(ask(&node, &get("look", "")).body, "one");
+}
+
 /// Guards against lost changes: half lines are put together, a bad line and an ended watch begin a new one
 /// from the last version that was whole, and one bad entry does not cost the others.
 #[test]
--- a/src/firms.rs
+++ b/src/firms.rs
@@ -22,6 +22,9 @@
 /// Names that are known so at least: as many as one core turns away in that time. They take a byte each,
 /// twice.
 const LEAST_LATELY: usize = 500_000;
+/// Milliseconds over which the pace of new names is taken, and the share of the table they may fill before.
+const PACE_MS: Millis = 1000.0;
+const FILLED: f64 = 0.25;
 /// Records gone through in one step at most; a step comes every 100 ms.
 const STEP_WORK: usize = 2048;
 /// Units granted under ceilings, or grants out, that are kept in order at most; beyond it none is granted.
@@ -42,6 +45,7 @@
         cells: firms / 8,
         lately: (firms * 4).max(LEAST_LATELY),
         lately_ms: LATELY_MS,
+        pace_ms: PACE_MS,
     }
 }
 
@@ -58,6 +62,11 @@
 }
 
 impl Limiter {
+    /// New names come so fast that strangers are refused, as of the last step.
+    pub fn flooding(&self) -> bool {
+        self.press == Press::Flooded
+    }
+
     /// How many customers are remembered, and what became of others.
     pub fn firms(&self) -> Firms {
         Firms { customers: self.customers.len(), accounts: self.accounts.len(), ..self.counts }
@@ -97,7 +106,8 @@
     /// Whether new names alone would displace all that is remembered within this time.
     fn flooded(&self, within: Millis) -> bool {
         let most = self.customers.most();
-        self.customers.len() >= most && self.strangers.rate(self.now) * within / 1000.0 > most as f64
+        let held = self.customers.len() as f64 >= most as f64 * FILLED;
+        held && self.strangers.rate(self.now) * within / 1000.0 > most as f64
     }
 
     fn fresh_customer(&self, request: &Request) -> Customer {
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,7 +150,7 @@
             customers: Table::new(most.firms, seed),
             accounts: Table::new(most.firms, seed ^ 1),
             owed: Owed { evens: debts(2), stores: debts(3), ceilings: debts(4) },
-            strangers: Fading::new(now, most.lately_ms),
+            strangers: Fading::new(now, most.pace_ms),
             lately: Lately::new(most.lately, most.lately_ms, seed ^ 5),
             press: Press::Calm,
             counts: Firms::default(),
@@ -222,6 +222,8 @@
     /// Names seen without a record, and for how long.
     pub lately: usize,
     pub lately_ms: Millis,
+    /// Over which the pace of new names is taken.
+    pub pace_ms: Millis,
 }
 
 /// Until when forgotten customers owe, by customer and plan.
