A flood is told from the pace of the last second, over at half of it; smaller steps of forgetting

Cause: at 192 MB the flood (13,000 new names a second) stood at the very threshold, flipped, and was mostly let in (p99 of usual firms 5 times the calm one); without requests 1.6% of a core went on forgetting 2,048 records a step. Change: turnover in 30 s counts as a flood, over at half the pace; 1,024 records a step.

--- a/src/firms.rs
+++ b/src/firms.rs
@@ -17,7 +17,7 @@
 /// Milliseconds in which new names alone would displace all that is remembered: from then on a name is let
 /// in when it is seen for the second time within `LATELY_MS`. A client that is refused with advice comes
 /// back sooner.
-const TURNOVER_MS: Millis = 10_000.0;
+const TURNOVER_MS: Millis = 30_000.0;
 const LATELY_MS: Millis = 5000.0;
 /// Names that are known so at least: as many as one core turns away in that time. They take a byte each,
 /// twice.
@@ -26,10 +26,10 @@
 const PACE_MS: Millis = 1000.0;
 const FILLED: f64 = 0.25;
 /// Records gone through in one step at most; a step comes every 100 ms.
-const STEP_WORK: usize = 2048;
+const STEP_WORK: usize = 1024;
 /// Units granted under ceilings, or grants out, that are kept in order at most; beyond it none is granted.
 pub(crate) const MOST_TERMS: usize = 1 << 16;
-/// Shares of the bound at which it counts as left behind, and of the flood's pace.
+/// Share of the bound at which it counts as left behind.
 const OVER: f64 = 0.9;
 /// Least grants kept, for the requests that are open here; lines of a message.
 const LEAST_GRANTS: usize = 8192;
@@ -78,7 +78,7 @@
         let known = self.customers.touch(now, &id).is_some();
         if !known {
             self.strangers.add(now, 1.0);
-            if self.flooded(TURNOVER_MS) && !self.lately.seen(now, &id) {
+            if self.flooded() && !self.lately.seen(now, &id) {
                 self.counts.strangers += 1;
                 return None;
             }
@@ -103,8 +103,10 @@
         Some(c)
     }
 
-    /// Whether new names alone would displace all that is remembered within this time.
-    fn flooded(&self, within: Millis) -> bool {
+    /// Whether new names alone would displace all that is remembered in a short time; over at half that pace,
+    /// so that a flood held back by refusals does not pass for its end.
+    fn flooded(&self) -> bool {
+        let within = if self.press == Press::Flooded { 2.0 * TURNOVER_MS } else { TURNOVER_MS };
         let most = self.customers.most();
         let held = self.customers.len() as f64 >= most as f64 * FILLED;
         held && self.strangers.rate(self.now) * within / 1000.0 > most as f64
@@ -236,9 +238,7 @@
     pub(crate) fn watch_firms(&mut self) -> Option<String> {
         let (held, most) = (self.customers.len().max(self.accounts.len()), self.customers.most());
         let press = match self.press {
-            _ if self.flooded(TURNOVER_MS) => Press::Flooded,
-            // Left later than entered, so that the log does not flap.
-            Press::Flooded if self.flooded(TURNOVER_MS / OVER / OVER) => Press::Flooded,
+            _ if self.flooded() => Press::Flooded,
             Press::Calm if held < most => Press::Calm,
             _ if (held as f64) < most as f64 * OVER => Press::Calm,
             _ => Press::Full,
