--- a/crates/bench/src/firms.rs
+++ b/crates/bench/src/firms.rs
@@ -40,6 +40,9 @@
     /// Memory limits of the floods, in MB.
     #[arg(long, value_delimiter = ',', default_value = "48,192")]
     memory_mb: Vec<f64>,
+    /// Only what a refusal costs: 100 firms far beyond their quotas, for 10 s.
+    #[arg(long)]
+    refusals_only: bool,
     /// Leaves the wide part out.
     #[arg(long)]
     floods_only: bool,
@@ -265,6 +268,32 @@
     Ok(())
 }
 
+/// What a refusal costs: 100 firms, as fast as they are answered.
+async fn refusals(program: &Path, discovery: SocketAddr, options: &Options) -> Result<(), String> {
+    let plan = r#"{"Name":"basic","Rate":5,"StoreSize":20}"#;
+    let limiter = Process::limiter_with(program, discovery, plan, 192.0)?;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let (cpu, hundred) = (limiter.cpu()?, |number: u64| Some(number % 100));
+    let asking = tokio::spawn(flood(limiter.addr, options.connections, 1 << 56, stop.clone(), hundred));
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    stop.store(true, Ordering::Relaxed);
+    let tally = asking.await.map_err(|e| e.to_string())??;
+    let us = (limiter.cpu()? - cpu) * 1e6 / tally.all() as f64;
+    println!("{}, CPU {us:.1} us a request", tally.row("100 firms beyond their quotas", 10.0));
+    Ok(())
+}
+
+/// Steps in which a million firms fall due, by the engine alone.
+pub fn passes() {
+    let mut world = crate::world::World::new(1e6, 1_000_000);
+    (0..1_000_000).for_each(|firm| world.request(firm));
+    let mut took = world.rest(200_000.0);
+    took.sort_by(f64::total_cmp);
+    let at = |share: f64| took.get(((took.len() as f64 - 1.0) * share) as usize).copied().unwrap_or(0.0);
+    println!("{} passes: p50 {:.0} us, p99 {:.0} us, most {:.0} us", took.len(), at(0.5), at(0.99), at(1.0));
+}
+
 /// 300 honest firms, calm and beside nothing but new names as fast as they are answered.
 async fn beside(
     program: &Path,
@@ -322,6 +351,9 @@
         let addr = listener.local_addr().map_err(|e| e.to_string())?;
         tokio::spawn(crate::direct::node(listener));
         let discovery = Discovery::shared(line(1, true, &[("s-1", addr, "active")]));
+        if options.refusals_only {
+            return refusals(program, discovery.addr, options).await;
+        }
         if !options.floods_only {
             wide(program, discovery.addr, options).await?;
         }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod external;
 mod firms;
 mod process;
+mod world;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +39,8 @@
     },
     /// Many firms and floods of names: latency, CPU, memory, and what honest firms get.
     Firms(firms::Options),
+    /// How long a pass takes in which a million firms are forgotten, without sockets.
+    Passes,
     /// The baseline of `external`; started by it.
     #[command(hide = true)]
     Echo,
@@ -55,6 +58,10 @@
         What::External { count } => external::run(&arguments.program, count),
         What::Direct { count } => direct::run(&arguments.program, count),
         What::Firms(options) => firms::run(&arguments.program, &options),
+        What::Passes => {
+            firms::passes();
+            Ok(())
+        }
         What::Echo => external::echo(),
         What::Pass { node } => direct::pass(node),
     };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -52,7 +52,8 @@
 
 pub use fawnhill::Millis;
 use fawnhill::{
-    Action, Condition, Event, Limiter, Load, Outcome, Request, RequestId, ServerEntry, ServerId, Settings,
+    Action, Condition, Event, Firms, Limiter, Load, Outcome, Request, RequestId, ServerEntry, ServerId,
+    Settings,
 };
 use timers::Timers;
 
@@ -271,6 +272,11 @@
         self.servers.values().any(|takes| *takes) && self.limiter.settled(now)
     }
 
+    /// How many customers are remembered, and what became of others.
+    pub fn firms(&self) -> Firms {
+        self.limiter.firms()
+    }
+
     /// New names come so fast that the module refuses those it has never seen.
     pub fn flooding(&self) -> bool {
         self.limiter.flooding()
--- a/crates/external/tests/cases.rs
+++ b/crates/external/tests/cases.rs
@@ -188,6 +188,30 @@
     case.is_over();
 }
 
+/// New firms without end from a proxy: the module remembers so many, strangers are refused, and records go.
+#[test]
+fn a_flood_of_names_from_a_proxy_is_bounded() {
+    let mut case = Case::new(Bounds { most_standing: 100, ..Bounds::default() });
+    let mut refused = 0;
+    for n in 0..50_000_u64 {
+        let name = n.to_be_bytes().as_slice().into();
+        let asked = fawnhill::Request { customer: 1_000_000 + n, ..request(SAFE, FREE, 7) };
+        let presentation = Presentation { name, key: None, attempt: None, request: asked };
+        let verdict =
+            case.give(Input::Presented { stream: n, presentation }).pop().map(|(_, verdict)| verdict);
+        match verdict {
+            Some(Verdict::Refuse { .. }) => refused += 1,
+            _ => drop(case.give(Input::Responded { stream: n, outcome: Outcome::Ok })),
+        }
+        case.give(Input::Closed { stream: n });
+        case.wait(0.5);
+        assert!(case.engine.firms().customers <= 10_000 && case.external.standing() <= 100);
+        assert_eq!((case.external.open(), case.external.streams()), (0, 0));
+    }
+    assert!(refused > 40_000, "{refused} of 50000 strangers");
+    case.is_over();
+}
+
 /// An attempt whose end nobody tells holds its slot for the stated time, and says nothing of its server.
 #[test]
 fn an_unreported_attempt_is_out_for_the_stated_time() {
