200 bytes a firm hold at every size: smaller indexes, and a test that adds them up

Cause: 'at most 200 bytes' was measured at one size; adding up what each structure may hold gave 216 just over or under a power of two, so that limits.memory_mb was not the bound it is said to be.

--- a/crates/firms/src/debts.rs
+++ b/crates/firms/src/debts.rs
@@ -18,9 +18,9 @@
 }
 
 impl Debts {
-    /// A sketch of `cells` cells a row, rounded up to a power of two; 32 bytes for each.
+    /// A sketch of `cells` cells a row, rounded down to a power of two; 32 bytes for each.
     pub fn new(cells: usize, seed: u64) -> Debts {
-        let bits = cells.clamp(16, 1 << 24).next_power_of_two().trailing_zeros();
+        let bits = cells.clamp(16, 1 << 24).ilog2();
         // Zeroed pages are not resident until a debt touches them.
         Debts { hash: Keyed::new(seed, 0xdeb7), bits, cells: vec![0.0; ROWS << bits] }
     }
--- a/crates/firms/src/table.rs
+++ b/crates/firms/src/table.rs
@@ -51,7 +51,7 @@
 /// that is seen there again moves to the protected part, and where that is full, only if it has been seen more often
 /// of late than the one it would displace (TinyLFU). What is to go is looked for among the oldest on probation.
 ///
-/// Memory: one bucket (4 bytes) and 4 to 8 bytes of frequencies for each name it may hold, which the system gives only
+/// Memory: 2 to 4 bytes of buckets and as many of frequencies for each name it may hold, which the system gives only
 /// once touched, and the records that it does hold, in pieces of 1,024.
 pub struct Table<K, V> {
     hash: Keyed,
@@ -83,7 +83,8 @@
             hash: Keyed::new(seed, 0x7ab1),
             most,
             // Zeroed: the system gives these pages as they are touched. A bucket holds a slot's number and one.
-            buckets: vec![0; most.next_power_of_two()],
+            // One or two records to a bucket when full.
+            buckets: vec![0; (most.next_power_of_two() / 2).max(1)],
             chunks: Vec::new(),
             len: 0,
             lists: [List { oldest: NONE, youngest: NONE, len: 0 }; 2],
--- a/src/accounts.rs
+++ b/src/accounts.rs
@@ -112,3 +112,23 @@
 pub(crate) fn owed_s(until: Millis, now: Millis) -> f64 {
     (until - now).max(0.0) / 1000.0
 }
+
+#[cfg(test)]
+mod tests {
+    use marldeal_firms::{Debts, Table};
+
+    use super::*;
+    use crate::firms::FIRMS_A_CELL;
+
+    /// All that grows with the number of customers, at sizes just under, at and just over a power of two.
+    #[test]
+    fn a_customer_takes_no_more_than_is_stated() {
+        for firms in [20_971, 65_536, 65_537, 100_000, 1_048_576, 1_048_577] {
+            let tables = Table::<CustomerId, Customer>::new(firms, 1).most_bytes()
+                + Table::<CustomerId, Account>::new(firms, 1).most_bytes();
+            let bytes = tables + 3 * Debts::new(firms / FIRMS_A_CELL, 1).bytes();
+            let each = bytes as f64 / firms as f64;
+            assert!(each <= Settings::BYTES_A_FIRM as f64, "{each} bytes each of {firms}");
+        }
+    }
+}
--- a/src/firms.rs
+++ b/src/firms.rs
@@ -31,6 +31,8 @@
 pub(crate) const MOST_TERMS: usize = 1 << 16;
 /// Share of the bound at which it counts as left behind.
 const OVER: f64 = 0.9;
+/// Customers for each cell of a row in the sketches of debts.
+pub(crate) const FIRMS_A_CELL: usize = 8;
 /// Least grants kept, for the requests that are open here; lines of a message.
 const LEAST_GRANTS: usize = 8192;
 const MOST_LINES: f64 = 10.0;
@@ -42,7 +44,7 @@
     Most {
         firms,
         grants: LEAST_GRANTS + told as usize,
-        cells: firms / 8,
+        cells: firms / FIRMS_A_CELL,
         lately: (firms * 4).max(LEAST_LATELY),
         lately_ms: LATELY_MS,
         pace_ms: PACE_MS,
