--- a/src/policy.rs
+++ b/src/policy.rs
@@ -227,9 +227,7 @@
         if let Some(server) = server {
             self.send(id, server, slots, out);
         }
-        if let Some(open) = self.requests.get_mut(&id) {
-            open.held = !sent;
-        }
+        self.requests.entry(id).and_modify(|r| r.held = !sent);
         sent
     }
 
@@ -393,9 +391,7 @@
 
     fn on_wake(&mut self, wake: u64, out: &mut Vec<Action>) {
         if wake == WAKE_STEP {
-            self.step(out);
-            out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
-            return;
+            return self.step(out);
         }
         if wake == WAKE_MAIL {
             self.mail_due = false;
@@ -506,6 +502,7 @@
         out.extend(self.servers.iter_mut().filter_map(|(id, s)| s.watch(id)).map(Action::Log));
         self.drop_idle();
         out.extend(self.watch_firms().map(Action::Log));
+        out.push(Action::Wake { after_ms: STEP_MS, token: WAKE_STEP });
     }
 
     /// One limiter of hundreds sees a few requests a second: rates and latency go over enough of them.
@@ -550,7 +547,9 @@
         let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
         let Some(c) = self.customers.get_mut(&request.customer) else { return };
         c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
-        let (room, usual) = (c.even.level >= units && c.room - units >= least, c.known);
+        // A part that never holds such a request is none: a hundred members would each let one through.
+        let own = plan.burst * part >= units && c.even.level >= units;
+        let (room, usual) = (own && c.room - units >= least, c.known);
         let mut line = self.ask_of(&request);
         // What cannot be told is not spent unasked: its keeper would grant the same units again.
         if !room
@@ -916,16 +915,13 @@
         load * latency * cross * (1.0 + 4.0 * self.errors)
     }
 
-    fn alive(&mut self, now: Millis) {
-        self.silences = 0;
-        self.last_answer = now;
-        self.heard.add(now, 1.0);
-    }
-
     fn note(&mut self, now: Millis, outcome: Outcome, took: Millis, cancelled: bool) {
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            (self.silences, self.last_answer) = (0, now);
+            self.heard.add(now, 1.0);
+        }
         match outcome {
             Outcome::Ok => {
-                self.alive(now);
                 self.errors *= 1.0 - NEWEST;
                 if now >= self.aside_until {
                     self.aside_for = 0.0;
@@ -933,17 +929,13 @@
                 self.latency += if self.latency > 0.0 { NEWEST } else { 1.0 } * (took - self.latency);
             }
             Outcome::Error => {
-                self.alive(now);
                 self.errors += NEWEST * (1.0 - self.errors);
                 if self.errors >= BAD_ERRORS {
                     self.errors = BAD_ERRORS / 2.0;
                     self.set_aside(now, "failing");
                 }
             }
-            Outcome::Full => {
-                self.alive(now);
-                self.full_until = now + FULL_MS;
-            }
+            Outcome::Full => self.full_until = now + FULL_MS,
             Outcome::Cancelled if !cancelled => {}
             Outcome::Cancelled | Outcome::TimedOut | Outcome::Severed | Outcome::NoConnection => {
                 self.silent(now);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -388,6 +388,26 @@
     assert!(sent(net.pass(150.0), 100), "the lost one is asked for again");
 }
 
+/// A limiter of a hundred sees each customer so seldom that it knows nothing of its store: what it lets through unasked,
+/// all let through.
+#[test]
+fn a_hundred_limiters_do_not_each_let_one_through_unasked() {
+    let all = (0..100).map(|position| Settings { limiters: 100, ..settings(position) }).collect();
+    let mut net = Net::new(all, 3, 5);
+    net.pass(500.0);
+    let mut units = 0.0;
+    for id in 0..100 {
+        let p = id as usize;
+        let request = Request { spread: 100, ..request(id, SAFE, RATED) };
+        let all: Vec<_> = net.give(p, Event::Request(request)).into_iter().map(|a| (p, a)).collect();
+        units += finish(&mut net, &all);
+        let all = net.pass(10.0);
+        units += finish(&mut net, &all);
+    }
+    // 12 at once and 6 a second, for a second.
+    assert!((12.0..=19.0).contains(&units), "{units} units of 100 limiters");
+}
+
 /// Guards against every request standing until its keeper's word has come: one of a customer that is known to have
 /// room, or not known yet, goes on at once, and its keeper counts it all the same.
 #[test]
