Words go at the pace of the asks taken in: a keeper of whom many ask keeps up

Words stood in the outbox for up to a second (a tail of 20 to 60 ms in the waits where the median is 3 ms) and were asked for again, which added to what the keeper had to answer. What a keeper sends goes to a hundred members, none of which is near its allowance. Change: words are not queued; they are as many as the asks that got in, which the receiver's allowance bounds. Asks are paced at half of what the two were paced at together, so that the sum over a tier stays the same.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -69,8 +69,9 @@
 const NEWEST_WAIT: f64 = 0.1;
 /// Share of the aim in which keepers are asked; then the even part decides.
 const WORD_PART: f64 = 0.4;
-/// Share of the receivers' message allowance that this limiter sends, and seconds of it sent in one go.
-const MAIL_PART: (f64, f64) = (0.8, 0.1);
+/// Share of the receivers' message allowance that this limiter asks with, and seconds of it sent in one go: as
+/// much comes back in words, and as much is asked of it.
+const MAIL_PART: (f64, f64) = (0.4, 0.2);
 /// Seconds of the allowance that may wait to be sent: more would come too late. Of it, what the lines of
 /// customers not seen before may fill: a flood of new ones must not hold up the others' words.
 const MAIL_WAIT_S: (f64, f64) = (1.0, 0.1);
@@ -181,7 +182,9 @@
         }
         request.spread = request.spread.clamp(1, self.settings.limiters);
         request.first %= self.settings.limiters;
-        self.note_units(request.units);
+        // The class bounds are the quartiles of the recent units.
+        self.units.push_back(request.units);
+        self.units.drain(..self.units.len().saturating_sub(UNITS_KEPT));
         if self.thinned(&request) {
             out.push(Action::Refuse { id: request.id, retry_ms: self.advice(&request) });
             return;
@@ -442,12 +445,6 @@
 
     // ---- CASA: classes, slots, feedback ----
 
-    /// Remembers a request's units; the class bounds are the quartiles of the recent ones.
-    fn note_units(&mut self, units: f64) {
-        self.units.push_back(units);
-        self.units.drain(..self.units.len().saturating_sub(UNITS_KEPT));
-    }
-
     fn set_bounds(&mut self) {
         let mut sorted: Vec<f64> = self.units.iter().copied().collect();
         sorted.sort_by(f64::total_cmp);
@@ -826,6 +823,7 @@
         }
         mail.level -= 1.0;
         let Some((born, share, lines)) = read_message(body) else { return };
+        let mut words = Vec::new();
         self.missed.remove(&from);
         let older_ms = self.incarnation.wrapping_sub(born);
         self.joined |= older_ms < u32::MAX / 2 && f64::from(older_ms) >= ELDER_MS;
@@ -836,15 +834,19 @@
             match line {
                 // After a stall the members that asked have gone on: an answer would only waste units.
                 Line::Ask(ask) if self.woke < self.now => {
-                    if let Some(word) = self.judge(from, born, &ask) {
-                        self.tell(from, Line::Word(word), true, out);
-                    }
+                    words.extend(self.judge(from, born, &ask).map(Line::Word));
                 }
                 Line::Word(word) if word.born == self.incarnation => self.on_word(from, &word, out),
                 Line::Done(done) => self.on_done(from, born, done),
                 _ => {}
             }
         }
+        // Words go at the pace of the asks taken in: paced like these, a keeper of whom many ask falls behind, and
+        // is asked everything again.
+        if !words.is_empty() {
+            let body = message(self.incarnation, self.own.value(self.now), &words);
+            out.push(Action::Tell { to: Some(from), body });
+        }
     }
 
     // ---- Servers ----
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -412,6 +412,32 @@
     assert!(told < 180, "{told} messages for some 50 requests");
 }
 
+/// Guards against a keeper of whom many ask falling behind: what one sends in words each of a hundred members takes in
+/// easily, and a word that waits is asked for again.
+#[test]
+fn a_keeper_of_whom_many_ask_answers_at_their_pace() {
+    let wide = Plan { rate: 200.0, burst: 80.0, ..settings(0).plans[RATED].clone() };
+    let all = (0..100).map(|position| {
+        let mut plans = settings(position).plans;
+        plans[RATED] = wide.clone();
+        Settings { limiters: 100, position, plans, messages_per_s: 60.0, ..settings(position) }
+    });
+    let mut net = Net::new(all.collect(), 3, 5);
+    net.pass(500.0);
+    let mut late = 0;
+    for id in 0..220 {
+        // 55 asks a second of one keeper, under the 60 that it takes in.
+        let p = (id * 37 % 100) as usize;
+        let request = Request { spread: 100, ..request(id, SAFE, RATED) };
+        let mut all: Vec<_> = net.give(p, Event::Request(request)).into_iter().map(|a| (p, a)).collect();
+        all.extend(net.pass(1000.0 / 55.0));
+        late += usize::from(!all.iter().any(|a| matches!(a.1, Action::Send { id: sent, .. } if sent == id)));
+        finish(&mut net, &all);
+    }
+    // A word takes 4 to 20 ms and rounds of 4 ms, of 18.
+    assert!(late < 110, "{late} of 220 had no word when the next asked");
+}
+
 /// A limiter of a hundred sees each customer so seldom that it knows nothing of its store: what it lets through unasked,
 /// all let through.
 #[test]
