--- a/src/firms.rs
+++ b/src/firms.rs
@@ -126,11 +126,9 @@
             // One that owes asks before it spends: what its keeper has left was forgotten too.
             room: if owed_s > 0.0 { 0.0 } else { plan.burst },
             told_at: f64::NEG_INFINITY,
-            told: 0.0,
-            unasked: 0.0,
             spread: request.spread as u16,
             plan: request.plan as u8,
-            known: false,
+            ..Customer::default()
         }
     }
 
@@ -159,12 +157,9 @@
             at: self.now,
             store: store.max(-plan.burst),
             ceiling: filled.min(ceiling).max(lowest),
-            lent: 0.0,
-            demand: 0.0,
-            let_in: 0.0,
-            open: 0,
             plan: ask.plan,
             rank,
+            ..Account::default()
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -104,8 +104,8 @@
 const CROSS_ZONE: f64 = 1.05;
 const PACE_MS: Millis = 5000.0;
 const FLEET_MS: Millis = 15_000.0;
-/// Limiters that use one server, and servers that a limiter uses at least: among fewer it learns sooner which
-/// are slow, and what it has out there holds it back.
+/// Limiters whose own a server is, and servers that are a limiter's own at least: among fewer it learns sooner
+/// which are slow, and what it has out there holds it back.
 const USERS: f64 = 8.0;
 const LEAST_CHOICES: f64 = 2.0;
 /// Factor on the time of one set aside or just tried, the last choice.
@@ -243,9 +243,7 @@
         let class = request.request.class;
         let check_ms = self.settings.classes[class].aim_ms * CHECK_PART;
         let attempt = request.attempts;
-        request.attempts += 1;
-        request.out = true;
-        request.last = Some(server.clone());
+        (request.attempts, request.out, request.last) = (attempt + 1, true, Some(server.clone()));
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1;
             s.cold.level -= 1.0;
@@ -492,7 +490,9 @@
         // Over all that served of late: the first of a fleet to come back is not all there is.
         let serving = self.servers.values().filter(|s| s.entry.condition == Condition::Serving).count();
         self.fleet = (self.fleet * (1.0 - STEP_MS / FLEET_MS)).max(serving as f64);
-        self.pace = self.wanted.rate(self.now) / self.fleet.max(1.0);
+        // A cold one's part comes from those limiters alone whose own it is.
+        let users_part = self.order.len() as f64 / self.choices().max(1) as f64;
+        self.pace = users_part * self.wanted.rate(self.now) / self.fleet.max(1.0);
         self.set_bounds();
         self.feedback();
         self.pump(out);
@@ -702,13 +702,9 @@
         let mut passing = if recorded { None } else { Some(self.fresh_account(ask, rank)) };
         let Limiter { accounts, grants, lent, opened, counts, .. } = self;
         let a = passing.as_mut().or_else(|| accounts.get_mut(&customer))?;
-        let word = |granted, a: &Account| Word {
-            id,
-            customer,
-            born,
-            granted,
-            over: a.over(now, &plan),
-            left: a.store.max(0.0) as f32,
+        let word = |granted, a: &Account| {
+            let (over, left) = (a.over(now, &plan), a.store.max(0.0) as f32);
+            Word { id, customer, born, granted, over, left }
         };
         if let Some(g) = grants.get(&key) {
             return Some(word(g.granted, a));
@@ -877,18 +873,28 @@
         self.pump(out);
     }
 
+    /// How many servers are this limiter's own: each has some limiters whose own it is.
+    fn choices(&self) -> usize {
+        let all = self.order.len();
+        ((USERS * all as f64 / f64::from(self.settings.limiters)).max(LEAST_CHOICES) as usize).min(all)
+    }
+
     /// The server with the least expected time among some that may have the request.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
+        let choices = self.choices();
         let Limiter { requests, servers, order, settings, rng, now, pace, usual, .. } = self;
-        let request = requests.get(&id)?;
-        // Golden ratio: limiters side by side, which share customers, start far apart, and all evenly.
-        let start = ((f64::from(settings.position) * 0.618_034).fract() * order.len() as f64) as usize;
-        let choices = (USERS * order.len() as f64 / f64::from(settings.limiters)).max(LEAST_CHOICES) as usize;
+        let (request, all) = (requests.get(&id)?, order.len());
+        // Golden ratio: limiters side by side, which share customers, start far apart, and all evenly. What
+        // their own servers cannot take goes to others, again far apart: the neighbours of lost ones would drown.
+        let from = |ratio: f64| ((f64::from(settings.position) * ratio).fract() * all as f64) as usize;
+        let (start, others) = (from(0.618_034), from(0.754_878));
+        let own = |at: usize| (at + all - start) % all < choices;
         let (mut best, mut seen): (Option<(f64, &ServerId)>, usize) = (None, 0);
-        for at in (start..order.len()).chain(0..start) {
+        let others = (others..others + all).filter(|at| !own(at % all));
+        for at in (start..start + choices).chain(others).map(|at| at % all) {
             let id = &order[at];
             let Some(s) = servers.get_mut(id) else { continue };
-            if !s.may_have(*now, *pace, settings) || !in_group(request, s, settings) {
+            if !s.may_have(*now, *pace, own(at), settings) || !in_group(request, s, settings) {
                 continue;
             }
             let last = *now < s.aside_until || request.last.as_ref() == Some(id);
@@ -966,7 +972,7 @@
     }
 
     /// Whether anything new may go there now: serving, not full, and within a cold one's part.
-    fn may_have(&mut self, now: Millis, pace: f64, settings: &Settings) -> bool {
+    fn may_have(&mut self, now: Millis, pace: f64, own: bool, settings: &Settings) -> bool {
         let silent = self.silences >= BAD_SILENCES && self.out > 0;
         let serves = self.entry.condition == Condition::Serving || planted::is(Fault::Drain);
         if !serves || now < self.full_until || silent {
@@ -982,7 +988,7 @@
         // can do; half the multiple leaves room for requests heavier than the mean.
         let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
         self.cold.fill(now, pace * share * (settings.fall_multiple / 2.0).min(1.0), 1.0);
-        self.cold.level >= 1.0
+        own && self.cold.level >= 1.0
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,7 +56,7 @@
 }
 
 /// A store of units that fills with time.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Store {
     pub level: f64,
     pub at: Millis,
@@ -250,7 +250,7 @@
 }
 
 /// What a member of a customer's set remembers of it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Customer {
     /// The even part here, for the time without a keeper.
     pub even: Store,
@@ -268,7 +268,7 @@
 }
 
 /// What a keeper holds for a customer, as of `at`.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct Account {
     pub at: Millis,
     pub store: f64,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -389,6 +389,66 @@
     (worst, f64::from(warm.max(total / 16)) / 6.0)
 }
 
+/// A third of the servers come back cold to a hundred limiters at six requests a second each: what reaches them, as a
+/// part of what warm ones got before, over each two seconds of the first twelve.
+fn zone_back(seed: u64) -> Vec<f64> {
+    const N: u32 = 100;
+    let one = |position| Settings { limiters: N, cold_ms: 14_000.0, ..settings(position) };
+    let mut net = Net::new((0..N).map(one).collect(), 60, seed);
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut before, mut cold) = (0.0, vec![0.0; 6]);
+    let mut started = f64::INFINITY;
+    for id in 0..12_000 {
+        if id == 4800 {
+            started = net.now;
+            for p in 0..N as usize {
+                let back =
+                    (0..60).step_by(3).map(|n| ServerEntry { started, ..entry(n) }).collect::<Vec<_>>();
+                net.give(p, Event::Servers { whole: false, entries: back.into() });
+            }
+        }
+        let p = rng.usize(0..N as usize);
+        let out = net.give(p, Event::Request(Request { customer: u64::from(id), ..request(id, SAFE, FREE) }));
+        for a in out {
+            let Action::Send { server: to, .. } = a else { continue };
+            let lost = (0..60).step_by(3).any(|n| to == server(n));
+            match ((net.now - started) / 2000.0).floor() {
+                window if window >= 0.0 && lost => cold[(window as usize).min(5)] += 1.0,
+                window if window < 0.0 && id >= 1200 => before += f64::from(lost),
+                _ => {}
+            }
+            let (attempt, outcome, load, took_ms) = (0, Outcome::Ok, Load::default(), 20.0);
+            net.give(
+                p,
+                Event::AttemptEnded { id, attempt, outcome, took_ms, settled: true, units: None, load },
+            );
+        }
+        // 600 a second.
+        if id % 5 == 0 {
+            net.pass(1000.0 / 120.0);
+        }
+    }
+    // 3,600 requests in 6 s.
+    cold.iter().map(|c| c / (before / 3.0)).collect()
+}
+
+/// Guards against servers that come back and stand idle: each limiter's part of a cold one was taken for one of a hundred,
+/// while eight of them use it.
+#[test]
+fn cold_servers_get_their_part_from_a_hundred_limiters() {
+    for seed in 0..3 {
+        let parts = zone_back(seed);
+        for (window, part) in parts.iter().enumerate() {
+            // It reaches a fifth of its capacity at first and all of it after 14 s.
+            let share = 0.2 + 0.8 * (window as f64 + 0.5) / 7.0;
+            assert!(
+                (0.4 * share..1.5 * share).contains(part),
+                "seed {seed}: {parts:.2?}, {share:.2} in {window}"
+            );
+        }
+    }
+}
+
 /// The later sites: one send that each of hundreds of limiters thinks harmless pushes a cold server over.
 #[test]
 fn a_cold_server_is_not_pushed_over_by_many_limiters() {
