A tier that starts at once spreads its calls to a shared registry

At the start all hundred call discovery in one moment; its line is longer than a call waits, so that 97 calls fail after 2 s, and each was made again after 50 ms to 1 s on one schedule (counted: 60 to 150 refusals a second to the end): the line never got shorter and went on working on calls that nobody waited for. After the release the limiters went on sending to servers that were gone (NoConnection: 600 to 900 of 1500 ends in 2 s). Ruled out: the watch's handling of lists (those 14 that had one applied each change within a moment); lists fetched whole (the watch asks after known.version already). Change: where the settings say that the list must be asked for, the first call comes within 60 ms for each limiter of the tier, drawn evenly, and failed ones are spread over as much, doubled twice at most, never over 20 s. Three limiters: 0.2 s. New test: a modelled registry of 80 ms a call serves a tier of 100 within a minute, under half of it on the old schedule.

--- /dev/null
+++ b/marldeal/src/asking.rs
@@ -0,0 +1,158 @@
+//! When the list of servers is asked for, so that a whole tier that starts, or loses its watches, at one moment does not
+//! keep its registry busy with calls that nobody waits for any more. No I/O and no clock.
+
+use std::time::Duration;
+
+/// How the list comes to a limiter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From an agent beside this limiter, which answers at once.
+    Agent,
+    /// From one registry that all limiters of the tier share: each call costs it work, and it takes them in turn.
+    Shared {
+        /// Limiters in the tier.
+        limiters: u32,
+    },
+}
+
+/// Shortest and longest wait before an agent is asked again.
+const AGENT_MS: (f64, f64) = (50.0, 1000.0);
+/// A shared registry's time for a call, as this limiter guesses it: a tier spreads its calls over so much for each member.
+const CALL_MS: f64 = 60.0;
+/// A failed call says that the registry's line is longer than it waits for; each further one doubles the time over which
+/// the tier spreads its calls, so many times at most.
+const DOUBLINGS: i32 = 2;
+/// Longest wait: a limiter that has not asked for longer counts as told what it has not heard.
+const MOST_MS: f64 = 20_000.0;
+
+/// Waits before calls, with their jitter.
+#[derive(Debug)]
+pub struct Asking {
+    source: Source,
+    failures: i32,
+    rng: fastrand::Rng,
+}
+
+impl Asking {
+    /// Nothing asked yet. The same seed gives the same waits.
+    pub fn new(source: Source, seed: u64) -> Asking {
+        Asking { source, failures: 0, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// How long to wait before the first call: the list that was known last serves meanwhile, and others start too.
+    pub fn first(&mut self) -> Duration {
+        match self.source {
+            Source::Agent => Duration::ZERO,
+            Source::Shared { limiters } => {
+                wait((CALL_MS * f64::from(limiters)).min(MOST_MS) * self.rng.f64())
+            }
+        }
+    }
+
+    /// How long to wait after a call or a watch has ended; `told` if it had told anything. Between half of the time and
+    /// one and a half times it, evenly: limiters that failed together do not come back together (decorrelated, as RFC
+    /// 8085, 3.1.1 asks of whoever sends again without a congestion window).
+    pub fn again(&mut self, told: bool) -> Duration {
+        self.failures = if told { 0 } else { self.failures + 1 };
+        let doubled = |first: f64, times: i32| first * 2f64.powi(times);
+        let usual = match self.source {
+            Source::Agent => doubled(AGENT_MS.0, self.failures.min(16)).min(AGENT_MS.1),
+            Source::Shared { limiters } => {
+                let spread = CALL_MS * f64::from(limiters);
+                doubled(spread, (self.failures - 1).clamp(0, DOUBLINGS)).min(MOST_MS / 1.5)
+            }
+        };
+        wait(usual * (0.5 + self.rng.f64()))
+    }
+}
+
+fn wait(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1000.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::VecDeque;
+
+    use super::*;
+
+    const TIME_OUT_MS: f64 = 2000.0;
+
+    /// A hundred limiters ask one registry at the same moment. It takes calls in turn, `call_ms` each, and works on those
+    /// whose caller has given up too. When each had its list, in seconds; nothing if it had none within a minute.
+    fn tier(
+        limiters: usize,
+        call_ms: f64,
+        mut wait: impl FnMut(usize, Option<u32>) -> f64,
+    ) -> Vec<Option<f64>> {
+        let (mut served, mut line) = (vec![None; limiters], VecDeque::new());
+        let mut asks: Vec<(f64, u32)> = (0..limiters).map(|n| (wait(n, None), 0)).collect();
+        let mut free_at = 0.0f64;
+        for now in (0..60_000).map(f64::from) {
+            for (n, ask) in asks.iter_mut().enumerate() {
+                if ask.0 <= now && served[n].is_none() {
+                    line.push_back((n, now));
+                    ask.1 += 1;
+                    ask.0 = now + TIME_OUT_MS + wait(n, Some(ask.1));
+                }
+            }
+            while let Some((n, came)) = line.front().copied().filter(|_| free_at <= now) {
+                line.pop_front();
+                free_at = free_at.max(now) + call_ms;
+                if free_at - came <= TIME_OUT_MS && served[n].is_none() {
+                    served[n] = Some(free_at / 1000.0);
+                }
+            }
+        }
+        served
+    }
+
+    fn spread(seed: u64, limiters: usize) -> impl FnMut(usize, Option<u32>) -> f64 {
+        let source = Source::Shared { limiters: limiters as u32 };
+        let mut all: Vec<_> = (0..limiters).map(|n| Asking::new(source, seed * 1000 + n as u64)).collect();
+        move |n, failures| {
+            let wait = if failures.is_some() { all[n].again(false) } else { all[n].first() };
+            wait.as_secs_f64() * 1000.0
+        }
+    }
+
+    /// Guards against a registry that is kept busy for good with calls that nobody waits for any more.
+    #[test]
+    fn a_whole_tier_has_its_list_soon_after_it_starts_at_once() {
+        for (seed, call_ms) in [(1, 40.0), (2, 60.0), (3, 80.0), (4, 100.0)] {
+            let served = tier(100, call_ms, spread(seed, 100));
+            let within = |s: f64| served.iter().flatten().filter(|at| **at <= s).count();
+            assert!(
+                within(15.0) >= 50 && within(60.0) == 100,
+                "{call_ms} ms a call, seed {seed}: {served:.1?}"
+            );
+        }
+        // On one schedule, as before: 50 ms, doubled up to a second.
+        let in_step = |_, failures: Option<u32>| {
+            failures.map_or(0.0, |f| (AGENT_MS.0 * f64::from(2u32.pow(f.min(8)))).min(AGENT_MS.1))
+        };
+        let served = tier(100, 80.0, in_step);
+        assert!(served.iter().flatten().count() < 50, "this registry is not hard to ask: {served:.1?}");
+    }
+
+    #[test]
+    fn few_limiters_ask_soon_and_an_agent_is_asked_at_once() {
+        for seed in 0..100 {
+            let mut few = Asking::new(Source::Shared { limiters: 3 }, seed);
+            assert!(few.first() <= Duration::from_millis(180));
+            assert!(few.again(true) <= Duration::from_millis(270));
+            let mut agent = Asking::new(Source::Agent, seed);
+            assert_eq!(agent.first(), Duration::ZERO);
+            assert!(agent.again(true) <= Duration::from_millis(75));
+            let longest = (0..20).map(|_| agent.again(false)).max();
+            assert!(longest <= Some(Duration::from_millis(1500)));
+        }
+    }
+
+    #[test]
+    fn no_wait_is_longer_than_a_limiter_may_go_without_asking() {
+        let mut many = Asking::new(Source::Shared { limiters: 100_000 }, 1);
+        let longest = (0..50).map(|_| many.again(false)).max().max(Some(many.first()));
+        assert!(longest <= Some(Duration::from_secs(20)), "{longest:?}");
+    }
+}
--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/discovery.rs
@@ -12,13 +12,12 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::asking::{self, Asking};
 use crate::driver::Driver;
 use crate::roster::{news, List};
 
 /// Beats come every 2 s; after two missed ones the watch counts as broken.
 const SILENCE: Duration = Duration::from_millis(4500);
-/// Shortest and longest wait before the next watch.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
 /// Longest line taken in.
 const MOST_LINE: usize = 4 << 20;
 
@@ -34,6 +33,11 @@
 /// not heard.
 pub async fn watch(driver: Rc<Driver>) {
     let mut version = driver.config.known.as_ref().map(|known| known.version);
+    // What was known last serves until this limiter's turn comes; with nothing known there is nothing to wait with.
+    let mut asking = asking(&driver, 0);
+    if version.is_some() {
+        tokio::time::sleep(asking.first()).await;
+    }
     loop {
         let sources = &driver.sources;
         let source =
@@ -43,18 +47,27 @@
     }
 }
 
+fn asking(driver: &Driver, stream: u64) -> Asking {
+    let settings = &driver.config.settings;
+    let source = match settings.must_subscribe {
+        true => asking::Source::Shared { limiters: settings.limiters },
+        false => asking::Source::Agent,
+    };
+    Asking::new(source, driver.config.seed ^ stream.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
 /// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version,
 /// unless there is a newer source by then.
 async fn keep(driver: Rc<Driver>, mut source: Source) {
-    let mut wait = BACK_OFF.0;
+    let mut asking = asking(&driver, u64::from(source.number) + 1);
     loop {
         let before = source.version;
         let why = follow(&driver, &mut source).await;
         if driver.sources.newest.get() != source.number {
             return driver.log(&format!("discovery: {why}; {} is watched no more", source.addr));
         }
-        wait = if source.version == before { (wait * 2).min(BACK_OFF.1) } else { BACK_OFF.0 };
-        driver.log(&format!("discovery: {why}; watching again"));
+        let wait = asking.again(source.version != before);
+        driver.log(&format!("discovery: {why}; watching again in {} ms", wait.as_millis()));
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
             () = driver.list_wanted.notified() => {}
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod asking;
 pub mod children;
 pub mod clients;
 pub mod config;
