--- a/src/policy.rs
+++ b/src/policy.rs
@@ -984,10 +984,10 @@
             self.cold_from = None;
             return true;
         }
-        // A warm server's pace times the capacity reached is at most this limiter's part of what the server
-        // can do; half the multiple leaves room for requests heavier than the mean.
+        // A warm server's pace times the capacity reached, and up to twice it, since warm ones are half busy as a
+        // rule and cold ones carry a fleet that is replaced. Half the multiple is left for heavier requests.
         let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
-        self.cold.fill(now, pace * share * (settings.fall_multiple / 2.0).min(1.0), 1.0);
+        self.cold.fill(now, pace * share * (settings.fall_multiple / 2.0).min(2.0), 1.0);
         own && self.cold.level >= 1.0
     }
 }
