--- a/src/policy.rs
+++ b/src/policy.rs
@@ -69,8 +69,8 @@
 const NEWEST_WAIT: f64 = 0.1;
 /// Share of the aim in which keepers are asked; then the even part decides.
 const WORD_PART: f64 = 0.4;
-/// Share of the receivers' message allowance that this limiter asks with, and seconds of it sent in one go: as
-/// much comes back in words, and as much is asked of it.
+/// Share of the receivers' message allowance that this limiter asks with, and seconds of it sent in one go:
+/// as much comes back in words, and as much is asked of it.
 const MAIL_PART: (f64, f64) = (0.4, 0.2);
 /// Seconds of the allowance that may wait to be sent: more would come too late. Of it, what the lines of
 /// customers not seen before may fill: a flood of new ones must not hold up the others' words.
@@ -104,8 +104,8 @@
 const CROSS_ZONE: f64 = 1.05;
 const PACE_MS: Millis = 5000.0;
 const FLEET_MS: Millis = 15_000.0;
-/// Limiters whose own a server is, and servers that are a limiter's own at least: among fewer it learns sooner
-/// which are slow, and what it has out there holds it back.
+/// Limiters whose own a server is, and servers that are a limiter's own at least: among fewer it learns
+/// sooner which are slow, and what it has out there holds it back.
 const USERS: f64 = 8.0;
 const LEAST_CHOICES: f64 = 2.0;
 /// Factor on the time of one set aside or just tried, the last choice.
@@ -647,7 +647,7 @@
         let waits = |r: &&mut Open| r.attempts == 0 && r.keeper.is_none() && (own || r.asked.is_some());
         let Some(open) = self.requests.get_mut(&word.id).filter(waits) else { return };
         if let Some((_, at)) = open.asked.take().filter(|a| a.0 == from) {
-            // Counted from the first ask (RFC 6298, 3): a word that comes just after a repeat answers that one,
+            // Counted from the first ask (RFC 6298, 3): a word just after a repeat answers the first one,
             // and waits taken for short would soon be asked again before any word can have come.
             let before = f64::from(open.asks - 1) * self.wait_ms * LATE_TIMES;
             let took = self.now - at + before;
@@ -838,8 +838,8 @@
                 _ => {}
             }
         }
-        // Words go at the pace of the asks taken in: paced like these, a keeper of whom many ask falls behind, and
-        // is asked everything again.
+        // Words go at the pace of the asks taken in: paced like these, a keeper of whom many ask falls
+        // behind, and is asked everything again.
         if !words.is_empty() {
             let body = message(self.incarnation, self.own.value(self.now), &words);
             out.push(Action::Tell { to: Some(from), body });
@@ -885,7 +885,7 @@
         let Limiter { requests, servers, order, settings, rng, now, pace, usual, .. } = self;
         let (request, all) = (requests.get(&id)?, order.len());
         // Golden ratio: limiters side by side, which share customers, start far apart, and all evenly. What
-        // their own servers cannot take goes to others, again far apart: the neighbours of lost ones would drown.
+        // their own servers cannot take goes to others, again far apart: a lost one's neighbours would drown.
         let from = |ratio: f64| ((f64::from(settings.position) * ratio).fract() * all as f64) as usize;
         let (start, others) = (from(0.618_034), from(0.754_878));
         let own = |at: usize| (at + all - start) % all < choices;
@@ -984,8 +984,8 @@
             self.cold_from = None;
             return true;
         }
-        // A warm server's pace times the capacity reached, and up to twice it, since warm ones are half busy as a
-        // rule and cold ones carry a fleet that is replaced. Half the multiple is left for heavier requests.
+        // A warm server's pace times the capacity reached, and up to twice it, since warm ones are half busy
+        // as a rule and cold ones carry a fleet that is replaced. Half the multiple is for heavier requests.
         let share = settings.cold_share + (1.0 - settings.cold_share) * age.max(0.0);
         self.cold.fill(now, pace * share * (settings.fall_multiple / 2.0).min(2.0), 1.0);
         own && self.cold.level >= 1.0
