--- a/src/policy.rs
+++ b/src/policy.rs
@@ -778,8 +778,8 @@
     }
 
     /// Puts a line into the next message to a peer, and sends what the allowance lets through. Where too
-    /// much waits already, the line is lost, as any may be: an ask is repeated, a word asked for again,
-    /// units that are not given back stay spent.
+    /// much waits already, the line is lost, as any may be: an ask is repeated, units that are not given back
+    /// stay spent.
     fn tell(&mut self, to: u32, line: Line, usual: bool, out: &mut Vec<Action>) {
         if !self.may_post(to, &line, usual) {
             return;
@@ -839,7 +839,7 @@
             }
         }
         // Words go at the pace of the asks taken in: paced like these, a keeper of whom many ask falls
-        // behind, and is asked everything again.
+        // behind and is asked all again. A word is shorter than its ask, so that one message holds them.
         if !words.is_empty() {
             let body = message(self.incarnation, self.own.value(self.now), &words);
             out.push(Action::Tell { to: Some(from), body });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -213,6 +213,15 @@
         self.post(limiter, actions)
     }
 
+    /// The first attempt of a request has served it.
+    pub fn served(&mut self, limiter: usize, id: RequestId, took_ms: Millis) {
+        let (attempt, outcome, load) = (0, Outcome::Ok, Load::default());
+        self.give(
+            limiter,
+            Event::AttemptEnded { id, attempt, outcome, took_ms, settled: true, units: None, load },
+        );
+    }
+
     /// Lets time pass in steps of a round; what each limiter did comes back with its position.
     pub fn pass(&mut self, ms: Millis) -> Vec<(usize, Action)> {
         let mut out = Vec::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -115,6 +115,21 @@
     assert!((1..=20).contains(&cold), "{cold}");
 }
 
+/// A cold server's part is reckoned for the limiters whose own it is: one more would be beyond it, even with nothing else left.
+#[test]
+fn a_cold_server_gets_nothing_from_limiters_whose_own_it_is_not() {
+    let users = (0..100).filter(|position| {
+        let mut rig = Rig::new(Settings { limiters: 100, ..settings(*position) }, 60);
+        let cold = |n| ServerEntry { started: rig.now, ..entry(n) };
+        let drains = |n| ServerEntry { condition: Condition::Draining, ..entry(n) };
+        rig.list(true, (0..60).map(|n| if n == 33 { cold(n) } else { drains(n) }).collect());
+        (0..50).any(|id| {
+            !sent(&rig.ask(request(id, SAFE, FREE))).is_empty() || !sent(&rig.pass(20.0)).is_empty()
+        })
+    });
+    assert!((4..=9).contains(&users.count()));
+}
+
 /// All nodes of a fleet end and start together, and the list tells of one after another: the first ones must not get what
 /// all together would. Found by rehearsing such a day.
 #[test]
