--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -44,6 +44,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod ledger;
 pub mod outcomes;
 pub mod timers;
 
@@ -56,6 +57,7 @@
     Action, Condition, Event, Firms, Limiter, Load, Outcome, Request, RequestId, ServerEntry, ServerId,
     Settings,
 };
+use ledger::{End, Ledger};
 use timers::Timers;
 
 /// What tells one client's request from another while it is open, such as the value of `X-Correlation-Id`.
@@ -182,6 +184,7 @@
 
 struct Open {
     name: Name,
+    class: usize,
     deadline: Millis,
     attempts: u32,
     /// An attempt is out.
@@ -210,12 +213,14 @@
     /// Whether each server of the roster takes new work.
     servers: HashMap<ServerId, bool>,
     next: RequestId,
+    ledger: Ledger,
 }
 
 impl Engine {
     /// An engine whose module has just started at `now`. The error names the setting that cannot be served.
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Result<Engine, String> {
         Ok(Engine {
+            ledger: Ledger::new(settings.classes.len()),
             limiter: Limiter::new(settings, seed, now)?,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -242,7 +247,7 @@
                 self.ended(now, id, attempt, outcome, units, load, out);
             }
             Input::Gone { id } => {
-                if self.settle(id) {
+                if self.settle(id, End::Aborted) {
                     self.events.push_back(Event::ClientGone { id });
                 }
             }
@@ -283,6 +288,21 @@
         self.limiter.flooding()
     }
 
+    /// What has been counted of requests and attempts.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// For what is counted outside: attempts as they are written, requests that a front ended itself.
+    pub fn ledger_mut(&mut self) -> &mut Ledger {
+        &mut self.ledger
+    }
+
+    /// Servers of the roster that the module avoids now.
+    pub fn avoided(&self, now: Millis) -> usize {
+        self.limiter.avoided(now)
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.open.len()
@@ -317,16 +337,18 @@
         self.next = self.next.wrapping_add(1);
         request.id = id;
         let deadline = now + request.budget_ms;
-        self.open.insert(id, Open { name, deadline, attempts: 0, out: false });
+        self.ledger.taken(request.class);
+        self.open.insert(id, Open { name, class: request.class, deadline, attempts: 0, out: false });
         self.timers.push(deadline, Due::Deadline(id));
         self.events.push_back(Event::Request(request));
         Some(id)
     }
 
-    /// Takes a request off the open ones; false if it was not.
-    fn settle(&mut self, id: RequestId) -> bool {
+    /// Takes a request off the open ones and counts its end; false if it was not open.
+    fn settle(&mut self, id: RequestId, end: End) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
         self.named.remove(&open.name);
+        self.ledger.ended(open.class, end);
         true
     }
 
@@ -348,7 +370,7 @@
             open.out = false;
             settled = false;
         }
-        if outcome == Outcome::Ok && self.settle(id) {
+        if outcome == Outcome::Ok && self.settle(id, End::Succeeded) {
             settled = true;
             out.push(Output::Answer { id, answer: Answer::Served });
         }
@@ -364,7 +386,7 @@
                 Due::Cap(id, attempt) => self.stop(id, attempt, Outcome::TimedOut, out),
                 // The backstop: the module ends its requests before this. Nothing is sent after it.
                 Due::Deadline(id) => {
-                    if self.settle(id) {
+                    if self.settle(id, End::Aborted) {
                         out.push(Output::Log(format!("request {id}: failed at its deadline")));
                         out.push(Output::Answer { id, answer: Answer::Failed });
                         self.events.push_back(Event::ClientGone { id });
@@ -447,7 +469,12 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer, out: &mut Vec<Output>) {
-        if self.settle(id) && !(planted::is(Fault::Answer) && id.is_multiple_of(500)) {
+        let end = match answer {
+            Answer::Served => End::Succeeded,
+            Answer::Refused { .. } => End::Declined,
+            Answer::Failed => End::Aborted,
+        };
+        if self.settle(id, end) && !(planted::is(Fault::Answer) && id.is_multiple_of(500)) {
             out.push(Output::Answer { id, answer });
         }
     }
--- /dev/null
+++ b/crates/lifecycle/src/lib.rs
@@ -0,0 +1,285 @@
+//! The phases of a limiter's life, and what each allows: readiness, accepting, keeping connections, closing idle ones and
+//! the end. It does *not* read a clock, count requests or hold sockets: the time and what is owed are arguments.
+//!
+//! | phase | ready | accepts | keeps connections after an answer | closes idle ones |
+//! | --- | --- | --- | --- | --- |
+//! | starting | no | yes | yes | no |
+//! | serving | yes | yes | yes | no |
+//! | standby | no | yes | no | after [`Times::standby_idle_ms`] |
+//! | stopping | no | for [`Times::serve_ms`] | for as long | after that |
+//! | handing over | no | no: the successor does | no | after [`Times::serve_ms`] |
+//!
+//! ```
+//! use marldeal_lifecycle::{Command, Lifecycle, Phase, Times};
+//!
+//! let mut life = Lifecycle::new(Times::default());
+//! life.able(0.0, true);
+//! assert_eq!(life.handle(10.0, Command::Standby), Ok(Phase::Standby));
+//! assert!(!life.ready() && life.accepts(10.0) && !life.keeps_alive(10.0) && !life.closes_idle(10.0));
+//! assert!(life.closes_idle(1010.0));
+//! assert_eq!(life.handle(2000.0, Command::Active), Ok(Phase::Serving));
+//! assert!(life.ready());
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::fmt;
+
+/// A moment or a length of time in milliseconds.
+pub type Millis = f64;
+
+/// What a limiter is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Not able to serve yet.
+    Starting,
+    /// Takes clients.
+    Serving,
+    /// Sends its clients away and runs on.
+    Standby,
+    /// Another process has taken its place: finishes what it has.
+    HandingOver,
+    /// Finishes what it has, and ends.
+    Stopping,
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Phase::Starting => "starting",
+            Phase::Serving => "serving",
+            Phase::Standby => "standby",
+            Phase::HandingOver => "handing over",
+            Phase::Stopping => "stopping",
+        })
+    }
+}
+
+/// What the operator, the platform or a successor wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Command {
+    /// Send clients away, run on.
+    Standby,
+    /// Take clients again.
+    Active,
+    /// A successor accepts from now on: finish and end.
+    HandOver,
+    /// Finish and end.
+    Stop,
+}
+
+/// Why a command changes nothing: the process ends, and nothing brings it back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ending(pub Phase);
+
+impl fmt::Display for Ending {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "this process is {} and takes no clients any more", self.0)
+    }
+}
+
+/// How long each step lasts, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Times {
+    /// Clients come for so long after the first word that this limiter is not ready.
+    pub front_ms: Millis,
+    /// In standby idle connections are closed after this time.
+    pub standby_idle_ms: Millis,
+    /// After a stop requests are taken for so long, since each can still be answered then.
+    pub serve_ms: Millis,
+    /// After a stop nothing is waited for any longer.
+    pub most_ms: Millis,
+}
+
+impl Default for Times {
+    fn default() -> Times {
+        Times { front_ms: 600.0, standby_idle_ms: 1000.0, serve_ms: 600.0, most_ms: 20_000.0 }
+    }
+}
+
+/// A limiter's life.
+#[derive(Debug, Clone)]
+pub struct Lifecycle {
+    times: Times,
+    phase: Phase,
+    since: Millis,
+    /// The standby that came before the end began then.
+    away: Option<Millis>,
+    able: bool,
+}
+
+impl Lifecycle {
+    /// A limiter that starts.
+    pub fn new(times: Times) -> Lifecycle {
+        Lifecycle { times, phase: Phase::Starting, since: 0.0, away: None, able: false }
+    }
+
+    /// What it is at.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Whether a request could be served now; the first yes ends the start.
+    pub fn able(&mut self, now: Millis, able: bool) {
+        self.able = able;
+        if able && self.phase == Phase::Starting {
+            (self.phase, self.since) = (Phase::Serving, now);
+        }
+    }
+
+    /// Takes a command and tells the phase that follows. One that asks for what is so already changes nothing. A stop or
+    /// a hand-over stands: what follows it is an error, but for a stop of one that hands over, which is at its end anyway.
+    ///
+    /// # Errors
+    /// The process is ending.
+    pub fn handle(&mut self, now: Millis, command: Command) -> Result<Phase, Ending> {
+        let next = match (self.phase, command) {
+            (Phase::Stopping, Command::Stop) | (Phase::HandingOver, Command::Stop | Command::HandOver) => {
+                self.phase
+            }
+            (Phase::Stopping | Phase::HandingOver, _) => return Err(Ending(self.phase)),
+            (_, Command::Standby) => Phase::Standby,
+            (Phase::Standby, Command::Active) if !self.able => Phase::Starting,
+            (Phase::Standby, Command::Active) => Phase::Serving,
+            (phase, Command::Active) => phase,
+            (_, Command::HandOver) => Phase::HandingOver,
+            (_, Command::Stop) => Phase::Stopping,
+        };
+        if next != self.phase {
+            self.away = (self.phase == Phase::Standby).then_some(self.since);
+            (self.phase, self.since) = (next, now);
+        }
+        Ok(next)
+    }
+
+    /// Clients may come.
+    pub fn ready(&self) -> bool {
+        self.phase == Phase::Serving && self.able
+    }
+
+    /// New connections are accepted. A stop after a standby accepts none once the front has had its time.
+    pub fn accepts(&self, now: Millis) -> bool {
+        match self.phase {
+            Phase::Starting | Phase::Serving | Phase::Standby => true,
+            Phase::Stopping => !self.over(now),
+            Phase::HandingOver => false,
+        }
+    }
+
+    /// A connection stays open after an answer.
+    pub fn keeps_alive(&self, now: Millis) -> bool {
+        match self.phase {
+            Phase::Starting | Phase::Serving => true,
+            Phase::Standby | Phase::HandingOver => false,
+            Phase::Stopping => self.away.is_none() && !self.over(now),
+        }
+    }
+
+    /// Connections on which nothing is asked are closed.
+    pub fn closes_idle(&self, now: Millis) -> bool {
+        match self.phase {
+            Phase::Starting | Phase::Serving => false,
+            Phase::Standby => now - self.since >= self.times.standby_idle_ms,
+            Phase::Stopping | Phase::HandingOver => self.over(now),
+        }
+    }
+
+    /// The process may end: no more requests can come, and what was taken is answered or not waited for any longer.
+    pub fn ends(&self, now: Millis, owes: bool) -> bool {
+        let stopping = matches!(self.phase, Phase::Stopping | Phase::HandingOver);
+        stopping && self.over(now) && (!owes || now - self.since >= self.times.most_ms)
+    }
+
+    /// The time in which an ending process takes requests has passed.
+    fn over(&self, now: Millis) -> bool {
+        let front_knows = self.away.is_some_and(|at| now - at >= self.times.front_ms);
+        now - self.since >= self.times.serve_ms || (self.phase == Phase::Stopping && front_knows)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn serving() -> Lifecycle {
+        let mut life = Lifecycle::new(Times::default());
+        life.able(0.0, true);
+        life
+    }
+
+    #[test]
+    fn commands_twice_and_out_of_turn_have_stated_results() {
+        let mut life = serving();
+        assert_eq!(life.handle(1.0, Command::Active), Ok(Phase::Serving));
+        assert_eq!(life.handle(2.0, Command::Standby), Ok(Phase::Standby));
+        assert_eq!(life.handle(900.0, Command::Standby), Ok(Phase::Standby));
+        // The second word does not begin the drain anew.
+        assert!(life.closes_idle(1002.0));
+        assert_eq!(life.handle(1500.0, Command::Stop), Ok(Phase::Stopping));
+        // The front knows: nothing is waited for.
+        assert!(!life.accepts(1500.0) && life.ends(1500.0, false) && !life.ends(1500.0, true));
+        assert_eq!(life.handle(1600.0, Command::Active), Err(Ending(Phase::Stopping)));
+        assert_eq!(life.handle(1600.0, Command::Standby), Err(Ending(Phase::Stopping)));
+        assert_eq!(life.handle(1600.0, Command::Stop), Ok(Phase::Stopping));
+    }
+
+    #[test]
+    fn a_stop_serves_on_while_clients_may_still_come() {
+        let mut life = serving();
+        assert_eq!(life.handle(0.0, Command::Stop), Ok(Phase::Stopping));
+        assert!(!life.ready() && life.accepts(599.0) && life.keeps_alive(599.0) && !life.ends(599.0, false));
+        assert!(!life.accepts(600.0) && !life.keeps_alive(600.0) && life.closes_idle(600.0));
+        assert!(life.ends(600.0, false) && !life.ends(600.0, true) && life.ends(20_000.0, true));
+    }
+
+    #[test]
+    fn one_that_hands_over_accepts_nothing_and_closes_with_each_answer() {
+        let mut life = serving();
+        assert_eq!(life.handle(0.0, Command::HandOver), Ok(Phase::HandingOver));
+        assert!(
+            !life.accepts(0.0)
+                && !life.keeps_alive(0.0)
+                && !life.closes_idle(599.0)
+                && life.closes_idle(600.0)
+        );
+        assert_eq!(life.handle(5.0, Command::Stop), Ok(Phase::HandingOver));
+        assert!(life.handle(5.0, Command::Active).is_err());
+    }
+
+    #[test]
+    fn standby_before_the_first_yes_stays_and_active_returns_to_the_start() {
+        let mut life = Lifecycle::new(Times::default());
+        assert_eq!(life.handle(0.0, Command::Standby), Ok(Phase::Standby));
+        life.able(1.0, false);
+        assert_eq!(life.handle(2.0, Command::Active), Ok(Phase::Starting));
+        life.able(3.0, true);
+        assert!(life.ready());
+    }
+
+    proptest! {
+        /// Whatever is commanded: ready means that it accepts and keeps; one that ends never serves again; an idle
+        /// connection is closed within a second of standby and stays closed until `active`.
+        #[test]
+        fn no_order_of_commands_breaks_it(steps in prop::collection::vec((0u8..5, 0.0..700.0f64, any::<bool>()), 1..40)) {
+            let mut life = Lifecycle::new(Times::default());
+            let (mut now, mut ended, mut away): (f64, bool, Option<f64>) = (0.0, false, None);
+            for (what, wait, able) in steps {
+                now += wait;
+                life.able(now, able);
+                let command = [Command::Standby, Command::Active, Command::HandOver, Command::Stop].get(usize::from(what));
+                let said = command.map(|c| life.handle(now, *c));
+                ended |= matches!(life.phase(), Phase::Stopping | Phase::HandingOver);
+                prop_assert_eq!(ended, matches!(life.phase(), Phase::Stopping | Phase::HandingOver));
+                if said == Some(Ok(Phase::Standby)) { away = away.or(Some(now)); }
+                if !ended && life.phase() != Phase::Standby { away = None; }
+                if let Some(from) = away {
+                    prop_assert!(!life.ready() && !life.keeps_alive(now));
+                    prop_assert!(ended || life.closes_idle(now) == (now - from >= 1000.0));
+                }
+                prop_assert!(!life.ready() || (life.accepts(now) && life.keeps_alive(now) && !life.closes_idle(now)));
+                prop_assert!(!life.ends(now, true) || ended);
+            }
+        }
+    }
+}
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -18,6 +18,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use marldeal_engine::ledger::End;
+use marldeal_lifecycle::{Command, Lifecycle, Phase};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -48,10 +50,6 @@
 /// A body that is too large is read on for so long and so far, so that its sender sees the answer.
 const MOST_DISCARDED: usize = 1 << 20;
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// When no more requests are taken: one that asks nothing is closed.
-const DRAIN_IDLE: Duration = Duration::from_millis(500);
-/// After SIGTERM: nothing is waited for any longer than this.
-const DRAIN_MOST: Duration = Duration::from_secs(20);
 
 /// One client connection, as the others see it.
 struct Client {
@@ -60,6 +58,8 @@
     /// The body of that is still to come.
     reading: Cell<bool>,
     used: Cell<Instant>,
+    /// Bytes of a request have come on it.
+    spoke: Cell<bool>,
     /// When the request that has not come whole began; a new connection owes one from the start.
     begun: Cell<Option<Instant>>,
     /// Its next request is taken up then.
@@ -78,6 +78,7 @@
             busy: Cell::new(false),
             reading: Cell::new(false),
             used: Cell::new(now),
+            spoke: Cell::new(false),
             begun: Cell::new(Some(now)),
             rest: Cell::new(None),
             layout,
@@ -88,6 +89,7 @@
 
     /// Bytes have come: the first of a request, unless they are its body.
     fn heard(&self) {
+        self.spoke.set(true);
         if !self.reading.get() && self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
         }
@@ -109,21 +111,22 @@
 struct Clients {
     all: RefCell<BTreeMap<u64, Rc<Client>>>,
     closed: Notify,
-    /// No more requests are taken.
-    closing: Cell<bool>,
     layout: Rc<Layout>,
 }
 
 impl Clients {
     /// Cuts connections that have asked nothing, or sent a part of a request, for too long. A few passes a
     /// second cost less than a timer for each request.
-    async fn sweep(&self) {
+    async fn sweep(&self, driver: &Driver) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let idle = if self.closing.get() { DRAIN_IDLE } else { IDLE_TIME };
+            let closes = driver.life(Lifecycle::closes_idle);
+            let idle = if closes { Duration::ZERO } else { IDLE_TIME };
             for client in self.all.borrow().values().filter(|c| !c.busy.get()) {
+                // Half a request is waited for also then: its client may count it as taken soon.
                 let part = client.begun.get().is_some_and(|at| at.elapsed() > PART_TIME);
-                if part || client.used.get().elapsed() > idle {
+                let says_nothing = client.begun.get().is_none() || !client.spoke.get();
+                if part || (says_nothing && client.used.get().elapsed() >= idle) {
                     client.cut.notify_one();
                 }
             }
@@ -155,29 +158,29 @@
 /// Accepts and serves until `stop`, then finishes what was taken and returns.
 pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
     let clients = Rc::new(Clients::default());
-    let sweeping = clients.clone();
-    tokio::task::spawn_local(async move { sweeping.sweep().await });
-    // After SIGTERM clients go on using the connections they have: these are served for as long as there is time.
-    let serving = Duration::from_secs_f64(driver.config.drain_ms / 1000.0);
+    let (sweeping, lives) = (clients.clone(), driver.clone());
+    tokio::task::spawn_local(async move { sweeping.sweep(&lives).await });
     let mut listener = Some(listener);
     let mut number = 0u64;
     let mut failing = false;
     tokio::pin!(stop);
-    let mut stopped: Option<Instant> = None;
+    let (mut stopped, mut closing) = (false, false);
     loop {
         let room = clients.all.borrow().len() < driver.config.most_clients;
         if !room {
             clients.evict();
         }
-        let tick = stopped.is_some() || !room;
-        if let Some(at) = stopped.filter(|at| at.elapsed() >= serving) {
-            if listener.take().is_some() {
-                clients.closing.set(true);
-                clients.all.borrow().values().for_each(|c| c.close.notify_one());
-            }
-            if !clients.owe() || at.elapsed() >= DRAIN_MOST {
-                return;
-            }
+        let tick = !room || !matches!(driver.phase(), Phase::Starting | Phase::Serving);
+        if !driver.life(Lifecycle::accepts) {
+            listener = None;
+        }
+        let closes = driver.life(Lifecycle::closes_idle);
+        if closes && !std::mem::replace(&mut closing, closes) {
+            clients.all.borrow().values().for_each(|c| c.close.notify_one());
+        }
+        closing = closes;
+        if driver.life(|life, now| life.ends(now, clients.owe())) {
+            return;
         }
         let accept = async {
             match &listener {
@@ -202,11 +205,12 @@
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
-            why = &mut stop, if stopped.is_none() => {
+            why = &mut stop, if !stopped => {
+                stopped = true;
                 driver.log(&format!("{why}: finishing"));
-                stopped = Some(Instant::now());
-                driver.draining.set(true);
+                let _ = driver.command(Command::Stop);
             }
+            () = driver.phase_changed.notified() => {}
             () = clients.closed.notified() => {}
             () = tokio::time::sleep(TICK), if tick => {}
         }
@@ -236,7 +240,7 @@
                 let open = u32::try_from(clients.all.borrow().len()).unwrap_or(u32::MAX);
                 client.rest.set(Some(Instant::now() + REST_EACH.saturating_mul(open)));
             }
-            if clients.closing.get() {
+            if !driver.life(Lifecycle::keeps_alive) {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             client.busy.set(false);
@@ -298,7 +302,12 @@
     }
     let mut read = match head::read(&driver.config, &client.layout, &head) {
         Ok(read) => read,
-        Err((status, why)) => return bad(status, why),
+        Err((status, why)) => {
+            if let Some(class) = head::class(&driver.config, &client.layout, &head) {
+                driver.count(|ledger| ledger.passed(class, End::Aborted));
+            }
+            return bad(status, why);
+        }
     };
     let body = timeout_at(begun + PART_TIME, whole(body)).await;
     client.reading.set(false);
@@ -321,9 +330,12 @@
         keep_ms: driver.keep_ms(&read.request),
     };
     if let Some(body) = driver.recorded(&content) {
+        driver.count(|ledger| ledger.passed(read.request.class, End::Succeeded));
         return Response::new(Full::new(body));
     }
+    let class = read.request.class;
     let Some((id, answered)) = driver.request(content, read.request) else {
+        driver.count(|ledger| ledger.passed(class, End::Aborted));
         return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
     };
     let waiting = Waiting { driver, id };
--- a/marldeal/src/config.rs
+++ b/marldeal/src/config.rs
@@ -4,6 +4,7 @@
 
 use fawnhill::Settings;
 use fawnhill_wirehost::wire::{self, Names, Setup};
+use marldeal_lifecycle::Times;
 use serde::Deserialize;
 
 use crate::mistakes::{self, Mistake};
@@ -18,6 +19,7 @@
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
+    mgmt: Option<SocketAddr>,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -54,6 +56,8 @@
     pub most_clients: usize,
     /// Most connections to servers held.
     pub most_servers: usize,
+    /// Where operators call; nowhere if not told.
+    pub management: Option<SocketAddr>,
     /// Where peers' datagrams arrive.
     pub peer_listen: Option<SocketAddr>,
     /// Peers by their position, this limiter among them.
@@ -64,12 +68,14 @@
     pub known: Option<List>,
     /// Milliseconds after which an idle connection to a server is dropped.
     pub idle_ms: f64,
-    /// For how long requests are taken after SIGTERM.
-    pub drain_ms: f64,
+    /// How long the steps of a drain and of an end last.
+    pub times: Times,
     /// Most units that one request may ask for.
     pub most_units: f64,
     /// The module's settings.
     pub settings: Settings,
+    /// The classes' names in their order.
+    pub classes: Vec<String>,
     /// Names of classes, plans and zones.
     pub names: Names,
 }
@@ -167,6 +173,10 @@
         };
         let listen = address(&listen, "listen");
         let discovery = address(&discovery, "discovery");
+        let management = match var("ROUTER_MGMT") {
+            Some(text) => Some(address(&text, "mgmt")),
+            None => file.mgmt,
+        };
         let seed = match &file.seed {
             Some(hex) => u64::from_str_radix(hex, 16).unwrap_or_else(|_| {
                 found.push(wrong("seed", format!("'{hex}' is not a hex number of 64 bits")));
@@ -178,7 +188,7 @@
         if !server_idle.is_finite() || server_idle < 0.0 {
             found.push(wrong("settings.Bounds.IdleCloseMs", format!("{server_idle} is not a time")));
         }
-        let drain_ms = drain_ms(&file.settings);
+        let times = Times { serve_ms: drain_ms(&file.settings), ..Times::default() };
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let by_memory = file.limits.memory_mb / CONNECTION_MB;
         let all = file.limits.sockets.min(by_memory.max(0.0) as usize);
@@ -210,14 +220,16 @@
             seed,
             most_clients: all / 2,
             most_servers: all / 3,
+            management,
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
             known: file.known,
             idle_ms: server_idle * IDLE_PART,
-            drain_ms,
+            times,
             most_units,
             settings,
+            classes: names.classes(),
             names,
         })
     }
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -2,7 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io::Write;
+use std::fmt::Write as _;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,8 +12,10 @@
 use bytes::Bytes;
 use fawnhill::{Condition, Effect, Outcome, Request, RequestId, ServerId};
 use hyper::header::HeaderValue;
+use marldeal_engine::ledger::{End, Ledger};
 use marldeal_engine::{Engine, Input, Output};
 use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
+use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
 use marldeal_outcomes::{Found, Question, Record};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -145,6 +148,13 @@
     }
 }
 
+/// How often the configuration was read again, with what result.
+#[derive(Debug, Clone, Copy, Default)]
+struct Reloads {
+    applied: u64,
+    rejected: u64,
+}
+
 /// The engine with all that surrounds it; one thread, so that nothing is locked.
 pub struct Driver {
     /// As told at the start.
@@ -155,8 +165,10 @@
     pub list_wanted: Notify,
     whole_wanted: Cell<bool>,
     told: Cell<bool>,
-    /// SIGTERM has come.
-    pub draining: Cell<bool>,
+    life: RefCell<Lifecycle>,
+    /// A command has changed the phase.
+    pub phase_changed: Notify,
+    reloads: Cell<Reloads>,
     clock: Clock,
     mail: Option<Rc<UdpSocket>>,
     upstream: Rc<dyn Upstream>,
@@ -192,13 +204,16 @@
             addresses: HashMap::new(),
             armed: None,
         };
+        let life = Lifecycle::new(config.times);
         let driver = Rc::new(Driver {
             sources: Sources::new(config.discovery),
             config,
             list_wanted: Notify::new(),
             whole_wanted: Cell::new(false),
             told: Cell::new(false),
-            draining: Cell::new(false),
+            life: RefCell::new(life),
+            phase_changed: Notify::new(),
+            reloads: Cell::default(),
             clock,
             mail,
             upstream,
@@ -228,9 +243,73 @@
 
     /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
     /// ready to let requests in.
-    pub fn ready(&self) -> bool {
+    pub fn able(&self) -> bool {
         let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS;
-        told && !self.draining.get() && self.state.borrow().engine.ready(self.now())
+        let now = self.now();
+        let able = told && self.state.borrow().engine.ready(now);
+        self.life.borrow_mut().able(now, able);
+        able
+    }
+
+    /// Clients may come.
+    pub fn ready(&self) -> bool {
+        self.able() && self.life.borrow().ready()
+    }
+
+    /// What this limiter is at.
+    pub fn phase(&self) -> Phase {
+        self.life.borrow().phase()
+    }
+
+    /// Asks the lifecycle something, at this moment.
+    pub fn life<T>(&self, ask: impl Fn(&Lifecycle, f64) -> T) -> T {
+        ask(&self.life.borrow(), self.now())
+    }
+
+    /// Takes a command of the operator, the platform or a successor.
+    ///
+    /// # Errors
+    /// The process is ending.
+    pub fn command(&self, command: Command) -> Result<Phase, Ending> {
+        self.able();
+        let before = self.phase();
+        let said = self.life.borrow_mut().handle(self.now(), command);
+        if self.phase() != before {
+            self.log(&format!("{before} until now, {} from now on", self.phase()));
+            self.phase_changed.notify_waiters();
+        }
+        said
+    }
+
+    /// The operators' figures, a line each.
+    pub fn figures(&self) -> String {
+        let state = self.state.borrow();
+        let ledger = state.engine.ledger();
+        let mut text = String::new();
+        let ends = [("succeeded", End::Succeeded), ("declined", End::Declined), ("aborted", End::Aborted)];
+        for (what, end) in ends {
+            for (class, name) in self.config.classes.iter().enumerate() {
+                let _ = writeln!(text, "{what}.{name}={}", ledger.ends(class, end));
+            }
+        }
+        let reloads = self.reloads.get();
+        let rest = [
+            ("forwards", ledger.forwards()),
+            ("outstanding", ledger.outstanding()),
+            ("discovered", state.addresses.len() as u64),
+            ("ejected", state.engine.avoided(self.now()) as u64),
+            ("sighup_applied", reloads.applied),
+            ("sighup_rejected", reloads.rejected),
+        ];
+        for (name, figure) in rest {
+            let _ = writeln!(text, "{name}={figure}");
+        }
+        text
+    }
+
+    /// Counts something that happens outside the engine.
+    pub fn count(&self, what: impl Fn(&mut Ledger)) {
+        what(self.state.borrow_mut().engine.ledger_mut());
     }
 
     /// New names come so fast that the module refuses those it has never seen.
@@ -241,7 +320,11 @@
     /// Reads the configuration again; of what it says only where discovery is can change while serving. One
     /// that makes no sense changes nothing.
     pub fn reload(&self) {
-        match Config::reloaded() {
+        let new = Config::reloaded();
+        let mut reloads = self.reloads.get();
+        *(if new.is_ok() { &mut reloads.applied } else { &mut reloads.rejected }) += 1;
+        self.reloads.set(reloads);
+        match new {
             Ok(new) if self.sources.turn_to(new.discovery) => {
                 self.log(&format!("reload: discovery is at {} now", new.discovery));
             }
--- a/marldeal/src/head.rs
+++ b/marldeal/src/head.rs
@@ -147,6 +147,15 @@
     Ok(Told { request, target, correlation, key })
 }
 
+/// The class that a head names, good or bad as the rest of it may be.
+pub fn class(config: &Config, layout: &Layout, head: &hyper::http::request::Parts) -> Option<usize> {
+    let named = match &layout.class {
+        Some(name) => head.headers.get(name)?.to_str().ok()?.trim(),
+        None => head.uri.path().strip_prefix('/')?.split('/').next()?,
+    };
+    config.names.class(named)
+}
+
 fn full(headers: &HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
     headers.get(name).filter(|v| !v.is_empty()).cloned()
 }
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod extensions;
 pub mod external;
 pub mod head;
+pub mod management;
 pub mod mistakes;
 pub mod on_sockets;
 pub mod peers;
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -13,7 +13,7 @@
 use crate::driver::Driver;
 use crate::extensions::Extensions;
 use crate::servers::Servers;
-use crate::{clients, discovery, external, mistakes, peers};
+use crate::{clients, discovery, external, management, mistakes, peers};
 
 /// Runs a limiter as the environment configures it, with what a file switches on beside.
 ///
@@ -66,6 +66,12 @@
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(async move { servers.sweep().await });
     tokio::task::spawn_local(discovery::watch(driver.clone()));
+    if let Some(at) = driver.config.management {
+        let listener = listen(at).await?;
+        let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+        driver.log(&format!("management on {at}"));
+        tokio::task::spawn_local(management::serve(driver.clone(), listener));
+    }
     let reloading = driver.clone();
     tokio::task::spawn_local(async move {
         while hangup.recv().await.is_some() {
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -2,20 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use fawnhill::{Outcome, ServerId};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Body;
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::HeaderName;
 use hyper::Request;
 use hyper_util::rt::TokioIo;
+use marldeal_engine::ledger::Ledger;
 use marldeal_engine::outcomes;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -24,6 +27,7 @@
 use crate::config::Config;
 use crate::driver::{Driver, Job, Upstream};
 use crate::head::{CORRELATION, KEY, MOST_BODY, TIME_LEFT};
+use crate::tapped::{Tap, Tapped};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
@@ -34,10 +38,72 @@
 /// then, and shows that it is of no further use.
 const SETTLE: Duration = Duration::from_millis(10);
 
+/// How far the request on a connection has been written.
+struct Progress {
+    driver: Rc<Driver>,
+    /// A request is on its way, and not written whole yet.
+    writing: Cell<bool>,
+    /// The connection has taken its last byte in.
+    taken: Cell<bool>,
+    /// Bytes of it have gone out.
+    wrote: Cell<bool>,
+}
+
+impl Progress {
+    fn begin(&self, empty: bool) {
+        self.writing.set(true);
+        self.taken.set(empty);
+        self.wrote.set(false);
+    }
+}
+
+impl Tap for Rc<Progress> {
+    fn wrote(&mut self, bytes: usize) {
+        if bytes > 0 {
+            Cell::set(&self.wrote, true);
+        }
+    }
+    fn flushed(&mut self) {
+        if self.taken.get() && self.wrote.get() && self.writing.replace(false) {
+            self.driver.count(Ledger::forwarded);
+        }
+    }
+}
+
+/// A request's body, that tells when its last byte has been taken.
+struct Outgoing {
+    body: Full<Bytes>,
+    progress: Rc<Progress>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if self.body.is_end_stream() {
+            self.progress.taken.set(true);
+        }
+        frame
+    }
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+type Wire = TokioIo<Tapped<Rc<Progress>>>;
+
 /// A connection and what drives it. Nothing else does: dropping it closes the socket.
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
+    connection: Connection<Wire, Outgoing>,
+    progress: Rc<Progress>,
     _room: Room,
 }
 
@@ -180,7 +246,9 @@
     if driver.address(&job.server) != Some(addr) {
         return (Outcome::NotSent, None);
     }
-    let Ok(request) = request(job, addr, job.end - driver.now()) else { return (Outcome::NotSent, None) };
+    let left_ms = job.end - driver.now();
+    let Ok(request) = request(job, addr, left_ms, &link.progress) else { return (Outcome::NotSent, None) };
+    link.progress.begin(job.content.body.is_empty());
     let Link { sender, connection, .. } = &mut link;
     let answer = async {
         let answer = match sender.try_send_request(request).await {
@@ -222,7 +290,7 @@
 /// Waits for the answer while the connection works; tells also whether that has ended.
 async fn drive(
     answer: impl Future<Output = (Outcome, Option<Bytes>)>,
-    connection: &mut Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    connection: &mut Connection<Wire, Outgoing>,
 ) -> (Outcome, Option<Bytes>, bool) {
     tokio::pin!(answer);
     let mut ended = false;
@@ -248,12 +316,24 @@
         Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
     };
     let _ = stream.set_nodelay(true);
-    let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(TokioIo::new(stream)).await;
+    let progress = Rc::new(Progress {
+        driver: driver.clone(),
+        writing: Cell::new(false),
+        taken: Cell::new(false),
+        wrote: Cell::new(false),
+    });
+    let wire = TokioIo::new(Tapped { stream, tap: progress.clone() });
+    let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(wire).await;
     let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
-    Ok(Link { sender, connection, _room: room })
+    Ok(Link { sender, connection, progress, _room: room })
 }
 
-fn request(job: &Job, addr: SocketAddr, left_ms: f64) -> hyper::http::Result<Request<Full<Bytes>>> {
+fn request(
+    job: &Job,
+    addr: SocketAddr,
+    left_ms: f64,
+    progress: &Rc<Progress>,
+) -> hyper::http::Result<Request<Outgoing>> {
     let content = &job.content;
     let mut request = Request::builder()
         .method(content.method.clone())
@@ -264,5 +344,6 @@
     if let Some(key) = &content.key {
         request = request.header(KEY, key.clone());
     }
-    request.body(Full::new(content.body.clone()))
+    let body = Full::new(content.body.clone());
+    request.body(Outgoing { body, progress: progress.clone() })
 }
--- a/marldeal/src/tapped.rs
+++ b/marldeal/src/tapped.rs
@@ -1,4 +1,4 @@
-//! A socket that tells when bytes come in.
+//! A socket that tells when bytes come in and when bytes have gone out.
 
 use std::io;
 use std::pin::Pin;
@@ -10,7 +10,13 @@
 /// What is told.
 pub trait Tap: Unpin {
     /// A read was tried and brought so many bytes. An error ends the connection.
-    fn read(&mut self, cx: &mut Context<'_>, bytes: usize) -> io::Result<()>;
+    fn read(&mut self, _: &mut Context<'_>, _bytes: usize) -> io::Result<()> {
+        Ok(())
+    }
+    /// So many bytes were written.
+    fn wrote(&mut self, _bytes: usize) {}
+    /// All that there was to write has been written.
+    fn flushed(&mut self) {}
 }
 
 /// A socket and what it tells.
@@ -38,20 +44,32 @@
 
 impl<T: Tap> AsyncWrite for Tapped<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        let done = Pin::new(&mut self.stream).poll_write(cx, data);
+        if let Poll::Ready(Ok(bytes)) = &done {
+            self.tap.wrote(*bytes);
+        }
+        done
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, data)
+        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, data);
+        if let Poll::Ready(Ok(bytes)) = &done {
+            self.tap.wrote(*bytes);
+        }
+        done
     }
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let done = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(done, Poll::Ready(Ok(()))) {
+            self.tap.flushed();
+        }
+        done
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_shutdown(cx)
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -1,7 +1,7 @@
 //! The program under test, with stand-ins round it.
 #![allow(dead_code, unused_imports)]
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -87,6 +87,36 @@
         at.and_then(|(_, a)| a.trim().parse().ok()).expect("an external processor")
     }
 
+    /// Starts with an altered configuration and a management address.
+    pub fn managed(servers: &[(&str, &Stub, &str)], alter: impl Fn(String) -> String) -> Node {
+        let managed = |c: String| c.replacen("{", r#"{"mgmt":"127.0.0.1:0","#, 1);
+        Node::new(servers, |c| alter(managed(c)), 1024, None)
+    }
+
+    /// Where operators call.
+    pub fn management(&self) -> SocketAddr {
+        let log = self.log.lock().expect("lock");
+        let at = log.lines().find_map(|l| l.split_once("management on "));
+        at.and_then(|(_, a)| a.trim().parse().ok()).expect("a management address")
+    }
+
+    /// The answer to bytes of an operator.
+    pub fn operator(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.management()).expect("connect");
+        stream.set_read_timeout(Some(marldeal_standin::PATIENCE)).expect("time-out");
+        stream.write_all(bytes).expect("write");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and its end");
+        answer
+    }
+
+    /// One of the figures.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.operator(b"stats\n");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+        line.and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+    }
+
     /// Waits until the program is ready, if it has servers.
     fn new(
         servers: &[(&str, &Stub, &str)],
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -136,6 +136,11 @@
         self.joined || !self.settings.may_tell || now - self.born >= longest
     }
 
+    /// Servers of the list that get nothing now if it can be helped: set aside, or silent.
+    pub fn avoided(&self, now: Millis) -> usize {
+        self.servers.values().filter(|s| now < s.aside_until || s.falls_silent()).count()
+    }
+
     /// Takes one event in and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -156,9 +161,7 @@
             Event::Streaming { id } => drop(self.requests.get_mut(&id).map(|r| r.streaming = true)),
             Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, .. } => {
                 if self.attempts.contains_key(&(id, attempt)) || settled {
-                    if let Some(open) = self.requests.get_mut(&id) {
-                        open.true_units = units;
-                    }
+                    self.requests.entry(id).and_modify(|r| r.true_units = units);
                     self.on_attempt_ended(id, attempt, outcome, took_ms);
                     self.after_attempt(id, outcome, settled, out);
                     self.pump(out);
@@ -199,12 +202,10 @@
         let id = request.id;
         let plan = &self.settings.plans[request.plan];
         let bound = plan.rate > 0.0 || plan.open > 0 || plan.ceiling_rate > 0.0;
-        let open = Open::new(request, self.now, self.now + deadline);
-        self.requests.insert(id, open);
-        if bound {
-            self.spend(id, out);
-        } else {
-            self.dispatch(id, out);
+        self.requests.insert(id, Open::new(request, self.now, self.now + deadline));
+        match bound {
+            true => self.spend(id, out),
+            false => self.dispatch(id, out),
         }
     }
 
@@ -351,8 +352,7 @@
     fn advice(&self, request: &Request) -> Millis {
         let rate = self.settings.plans[request.plan].rate;
         let hold_ms = self.settings.classes[request.class].aim_ms * HOLD_PART;
-        let wait_ms = if rate > 0.0 { 1000.0 * request.units / rate } else { hold_ms };
-        wait_ms * f64::from(self.settings.may_advise)
+        f64::from(self.settings.may_advise) * if rate > 0.0 { 1000.0 * request.units / rate } else { hold_ms }
     }
 
     /// Takes a request off the books and tells its keeper what it really used.
@@ -949,10 +949,8 @@
             }
             Outcome::Full => self.full_until = now + FULL_MS,
             Outcome::Cancelled if !cancelled => {}
-            Outcome::Cancelled | Outcome::TimedOut | Outcome::Severed | Outcome::NoConnection => {
-                self.silent(now);
-            }
             Outcome::NotSent => {}
+            _ => self.silent(now),
         }
     }
 
@@ -963,6 +961,11 @@
         }
     }
 
+    /// Silent at every attempt of late, with one more out to show whether it lives.
+    fn falls_silent(&self) -> bool {
+        self.silences >= BAD_SILENCES && self.out > 0
+    }
+
     fn set_aside(&mut self, now: Millis, why: &'static str) {
         if now >= self.aside_until {
             self.aside_for = (self.aside_for * 2.0).clamp(ASIDE_MS.0, ASIDE_MS.1);
@@ -973,9 +976,8 @@
 
     /// Whether anything new may go there now: serving, not full, and within a cold one's part.
     fn may_have(&mut self, now: Millis, pace: f64, own: bool, settings: &Settings) -> bool {
-        let silent = self.silences >= BAD_SILENCES && self.out > 0;
         let serves = self.entry.condition == Condition::Serving || planted::is(Fault::Drain);
-        if !serves || now < self.full_until || silent {
+        if !serves || now < self.full_until || self.falls_silent() {
             return false;
         }
         let Some(from) = self.cold_from.filter(|_| !planted::is(Fault::Cold)) else { return true };
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -297,6 +297,13 @@
         self.classes.get(name).copied()
     }
 
+    /// The classes in the order of their indexes.
+    pub fn classes(&self) -> Vec<String> {
+        let mut all: Vec<_> = self.classes.iter().collect();
+        all.sort_by_key(|(_, at)| **at);
+        all.into_iter().map(|(name, _)| name.clone()).collect()
+    }
+
     /// The index of a plan.
     pub fn plan(&self, name: &str) -> Option<usize> {
         self.plans.get(name).copied()
