--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -58,6 +58,7 @@
     Settings,
 };
 use ledger::{End, Ledger};
+use marldeal_snapshot::{Belief, Grade, Snapshot};
 use timers::Timers;
 
 /// What tells one client's request from another while it is open, such as the value of `X-Correlation-Id`.
@@ -273,9 +274,14 @@
         self.servers.get(server).copied().unwrap_or(false)
     }
 
+    /// A server of the roster takes new work.
+    pub fn has_servers(&self) -> bool {
+        self.servers.values().any(|takes| *takes)
+    }
+
     /// A request could be served: a server takes work, and the module is ready to let requests in.
     pub fn ready(&self, now: Millis) -> bool {
-        self.servers.values().any(|takes| *takes) && self.limiter.settled(now)
+        self.has_servers() && self.limiter.settled(now)
     }
 
     /// How many customers are remembered, and what became of others.
@@ -303,6 +309,24 @@
         self.limiter.avoided(now)
     }
 
+    /// What is known at `now`, for another process to go on with; `grade` says what this one does from here on.
+    pub fn snapshot(&self, now: Millis, grade: Grade) -> Snapshot {
+        Snapshot { grade, written: now, next: self.next, knowledge: self.limiter.knowledge(now) }
+    }
+
+    /// Takes over what is believed of another process's snapshot. Only before the first request: what this one had
+    /// learnt itself is replaced.
+    pub fn learn(&mut self, now: Millis, belief: Belief) {
+        match belief {
+            Belief::Same { knowledge, next } => {
+                self.next = self.next.max(next);
+                self.limiter.learn(now, &knowledge, true);
+            }
+            Belief::Hints { knowledge } => self.limiter.learn(now, &knowledge, false),
+            Belief::Nothing { .. } => {}
+        }
+    }
+
     /// Requests that have no final answer yet.
     pub fn open(&self) -> usize {
         self.open.len()
--- a/crates/firms/src/debts.rs
+++ b/crates/firms/src/debts.rs
@@ -11,7 +11,9 @@
 /// its cells in every row. A moment is its own fading: once it is past, the name owes nothing and its cells are free
 /// again, without a pass. (A count-min sketch, Cormode and Muthukrishnan 2005, of maxima in place of sums; the moment
 /// is the theoretical arrival time of the generic cell rate algorithm, ITU-T I.371.)
+#[derive(Clone)]
 pub struct Debts {
+    seed: u64,
     hash: Keyed,
     bits: u32,
     cells: Vec<Millis>,
@@ -22,7 +24,7 @@
     pub fn new(cells: usize, seed: u64) -> Debts {
         let bits = cells.clamp(16, 1 << 24).ilog2();
         // Zeroed pages are not resident until a debt touches them.
-        Debts { hash: Keyed::new(seed, 0xdeb7), bits, cells: vec![0.0; ROWS << bits] }
+        Debts { seed, hash: Keyed::new(seed, 0xdeb7), bits, cells: vec![0.0; ROWS << bits] }
     }
 
     /// Notes that a name owes until a moment. An earlier moment changes nothing.
@@ -40,6 +42,24 @@
         cells.fold(f64::INFINITY, f64::min)
     }
 
+    /// All that is owed after `now`: the seed of its places, and how much longer each cell in use owes.
+    pub fn owing(&self, now: Millis) -> (u64, Vec<(u32, Millis)>) {
+        let used = self.cells.iter().enumerate().filter(|(_, until)| **until > now);
+        (self.seed, used.map(|(at, until)| (at as u32, until - now)).collect())
+    }
+
+    /// Takes over what another sketch of the same size told with [`Debts::owing`], in place of all that is here. False,
+    /// and nothing changes, if its cells do not fit.
+    pub fn take_over(&mut self, now: Millis, (seed, owing): &(u64, Vec<(u32, Millis)>)) -> bool {
+        let fits = owing.iter().all(|(at, ms)| (*at as usize) < self.cells.len() && *ms > 0.0);
+        if fits {
+            (self.seed, self.hash) = (*seed, Keyed::new(*seed, 0xdeb7));
+            self.cells.fill(0.0);
+            owing.iter().for_each(|(at, ms)| self.cells[*at as usize] = now + ms);
+        }
+        fits
+    }
+
     /// Bytes that it holds at most.
     pub fn bytes(&self) -> usize {
         self.cells.len() * std::mem::size_of::<Millis>()
@@ -76,6 +96,23 @@
         }
     }
 
+    #[test]
+    fn debts_taken_over_are_as_long() {
+        let mut debts = Debts::new(64, 7);
+        (0..50u64).for_each(|name| debts.owe(&name, 100.0 + name as f64));
+        let mut other = Debts::new(64, 8);
+        other.owe(&99u64, 1e9);
+        assert!(other.take_over(1020.0, &debts.owing(20.0)));
+        for name in 0..100u64 {
+            let (was, is) = (debts.owed_until(&name), other.owed_until(&name));
+            assert!(
+                if was > 20.0 { (is - was - 1000.0).abs() < 1e-6 } else { is == 0.0 },
+                "{name}: {was} {is}"
+            );
+        }
+        assert!(!Debts::new(16, 1).take_over(0.0, &(7, vec![(64, 1.0)])));
+    }
+
     /// A name that owes nothing is taken for a debtor by chance alone: with half as many debts as cells a row,
     /// (1 - e^-0.5)^4 = 2.4% of the time.
     #[test]
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! | phase | ready | accepts | keeps connections after an answer | closes idle ones |
 //! | --- | --- | --- | --- | --- |
+//! | warming | no | no: the predecessor does | yes | no |
 //! | starting | no | yes | yes | no |
 //! | serving | yes | yes | yes | no |
 //! | standby | no | yes | no | after [`Times::standby_idle_ms`] |
@@ -31,6 +32,8 @@
 /// What a limiter is at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
+    /// Beside a predecessor that still accepts.
+    Warming,
     /// Not able to serve yet.
     Starting,
     /// Takes clients.
@@ -46,6 +49,7 @@
 impl fmt::Display for Phase {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
+            Phase::Warming => "warming",
             Phase::Starting => "starting",
             Phase::Serving => "serving",
             Phase::Standby => "standby",
@@ -62,6 +66,8 @@
     Standby,
     /// Take clients again.
     Active,
+    /// The predecessor accepts no more, or is gone: take its place.
+    TakeOver,
     /// A successor accepts from now on: finish and end.
     HandOver,
     /// Finish and end.
@@ -114,6 +120,11 @@
         Lifecycle { times, phase: Phase::Starting, since: 0.0, away: None, able: false }
     }
 
+    /// A limiter that starts beside one that serves in the same place.
+    pub fn beside_predecessor(times: Times) -> Lifecycle {
+        Lifecycle { phase: Phase::Warming, ..Lifecycle::new(times) }
+    }
+
     /// What it is at.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -137,7 +148,13 @@
             (Phase::Stopping, Command::Stop) | (Phase::HandingOver, Command::Stop | Command::HandOver) => {
                 self.phase
             }
+            (Phase::Stopping, Command::HandOver) => Phase::HandingOver,
             (Phase::Stopping | Phase::HandingOver, _) => return Err(Ending(self.phase)),
+            (Phase::Warming, Command::TakeOver) if self.able => Phase::Serving,
+            (Phase::Warming, Command::TakeOver) => Phase::Starting,
+            (phase, Command::TakeOver) => phase,
+            // One that warms up has no clients to send away: it says so by staying as it is.
+            (Phase::Warming, Command::Standby | Command::Active) => Phase::Warming,
             (_, Command::Standby) => Phase::Standby,
             (Phase::Standby, Command::Active) if !self.able => Phase::Starting,
             (Phase::Standby, Command::Active) => Phase::Serving,
@@ -146,7 +163,12 @@
             (_, Command::Stop) => Phase::Stopping,
         };
         if next != self.phase {
-            self.away = (self.phase == Phase::Standby).then_some(self.since);
+            self.away = match self.phase {
+                Phase::Standby => Some(self.since),
+                // Clients were never sent to it.
+                Phase::Warming => Some(f64::NEG_INFINITY),
+                _ => None,
+            };
             (self.phase, self.since) = (next, now);
         }
         Ok(next)
@@ -162,14 +184,14 @@
         match self.phase {
             Phase::Starting | Phase::Serving | Phase::Standby => true,
             Phase::Stopping => !self.over(now),
-            Phase::HandingOver => false,
+            Phase::Warming | Phase::HandingOver => false,
         }
     }
 
     /// A connection stays open after an answer.
     pub fn keeps_alive(&self, now: Millis) -> bool {
         match self.phase {
-            Phase::Starting | Phase::Serving => true,
+            Phase::Warming | Phase::Starting | Phase::Serving => true,
             Phase::Standby | Phase::HandingOver => false,
             Phase::Stopping => self.away.is_none() && !self.over(now),
         }
@@ -178,16 +200,21 @@
     /// Connections on which nothing is asked are closed.
     pub fn closes_idle(&self, now: Millis) -> bool {
         match self.phase {
-            Phase::Starting | Phase::Serving => false,
+            Phase::Warming | Phase::Starting | Phase::Serving => false,
             Phase::Standby => now - self.since >= self.times.standby_idle_ms,
             Phase::Stopping | Phase::HandingOver => self.over(now),
         }
     }
 
-    /// The process may end: no more requests can come, and what was taken is answered or not waited for any longer.
-    pub fn ends(&self, now: Millis, owes: bool) -> bool {
-        let stopping = matches!(self.phase, Phase::Stopping | Phase::HandingOver);
-        stopping && self.over(now) && (!owes || now - self.since >= self.times.most_ms)
+    /// The process may end: no more requests can come, and what was taken is answered or not waited for any longer. One
+    /// that hands over need not wait once it holds no connection any more.
+    pub fn ends(&self, now: Millis, owes: bool, holds: bool) -> bool {
+        let over = match self.phase {
+            Phase::Stopping => self.over(now),
+            Phase::HandingOver => self.over(now) || !holds,
+            _ => return false,
+        };
+        over && (!owes || now - self.since >= self.times.most_ms)
     }
 
     /// The time in which an ending process takes requests has passed.
@@ -218,7 +245,7 @@
         assert!(life.closes_idle(1002.0));
         assert_eq!(life.handle(1500.0, Command::Stop), Ok(Phase::Stopping));
         // The front knows: nothing is waited for.
-        assert!(!life.accepts(1500.0) && life.ends(1500.0, false) && !life.ends(1500.0, true));
+        assert!(!life.accepts(1500.0) && life.ends(1500.0, false, true) && !life.ends(1500.0, true, true));
         assert_eq!(life.handle(1600.0, Command::Active), Err(Ending(Phase::Stopping)));
         assert_eq!(life.handle(1600.0, Command::Standby), Err(Ending(Phase::Stopping)));
         assert_eq!(life.handle(1600.0, Command::Stop), Ok(Phase::Stopping));
@@ -228,9 +255,16 @@
     fn a_stop_serves_on_while_clients_may_still_come() {
         let mut life = serving();
         assert_eq!(life.handle(0.0, Command::Stop), Ok(Phase::Stopping));
-        assert!(!life.ready() && life.accepts(599.0) && life.keeps_alive(599.0) && !life.ends(599.0, false));
+        assert!(
+            !life.ready()
+                && life.accepts(599.0)
+                && life.keeps_alive(599.0)
+                && !life.ends(599.0, false, false)
+        );
         assert!(!life.accepts(600.0) && !life.keeps_alive(600.0) && life.closes_idle(600.0));
-        assert!(life.ends(600.0, false) && !life.ends(600.0, true) && life.ends(20_000.0, true));
+        assert!(
+            life.ends(600.0, false, true) && !life.ends(600.0, true, true) && life.ends(20_000.0, true, true)
+        );
     }
 
     #[test]
@@ -243,10 +277,26 @@
                 && !life.closes_idle(599.0)
                 && life.closes_idle(600.0)
         );
+        assert!(life.ends(1.0, false, false) && !life.ends(1.0, false, true) && !life.ends(1.0, true, true));
         assert_eq!(life.handle(5.0, Command::Stop), Ok(Phase::HandingOver));
         assert!(life.handle(5.0, Command::Active).is_err());
     }
 
+    #[test]
+    fn beside_a_predecessor_nothing_is_accepted_until_its_place_is_taken() {
+        let mut life = Lifecycle::beside_predecessor(Times::default());
+        life.able(0.0, true);
+        assert!(!life.ready() && !life.accepts(0.0));
+        assert_eq!(life.handle(1.0, Command::Standby), Ok(Phase::Warming));
+        assert_eq!(life.handle(2.0, Command::TakeOver), Ok(Phase::Serving));
+        assert!(life.ready() && life.accepts(2.0));
+        assert_eq!(life.handle(3.0, Command::TakeOver), Ok(Phase::Serving));
+        let mut stopped = Lifecycle::beside_predecessor(Times::default());
+        assert_eq!(stopped.handle(0.0, Command::Stop), Ok(Phase::Stopping));
+        assert!(!stopped.accepts(0.0) && stopped.ends(0.0, false, true));
+        assert!(stopped.handle(1.0, Command::TakeOver).is_err());
+    }
+
     #[test]
     fn standby_before_the_first_yes_stays_and_active_returns_to_the_start() {
         let mut life = Lifecycle::new(Times::default());
@@ -278,7 +328,7 @@
                     prop_assert!(ended || life.closes_idle(now) == (now - from >= 1000.0));
                 }
                 prop_assert!(!life.ready() || (life.accepts(now) && life.keeps_alive(now) && !life.closes_idle(now)));
-                prop_assert!(!life.ends(now, true) || ended);
+                prop_assert!(!life.ends(now, true, false) || ended);
             }
         }
     }
--- /dev/null
+++ b/crates/snapshot/src/lib.rs
@@ -0,0 +1,261 @@
+//! What a limiter knows, as versioned and bounded bytes, and what a reader believes of it by its age.
+//!
+//! The bytes say which version wrote them, for which settings, and when; what is cut, garbled, too large, of another
+//! version or of other settings is refused whole, with the reason. What is whole is believed by its [`Grade`] and age. It
+//! does *not* read a clock, open a socket or touch the decision module: bytes and moments are arguments.
+//!
+//! ```
+//! use marldeal_snapshot::{believe, Belief, Grade, Refused, Snapshot};
+//! # use fawnhill::{Limiter, Settings};
+//! # let settings = Settings {
+//! #     limiters: 1, position: 0, zone: 0, classes: vec![], plans: vec![], round_ms: 1.0,
+//! #     max_attempts: 3, connect_timeout_ms: 250.0, may_probe: false, may_tell: false, may_cancel: true,
+//! #     may_advise: false, messages_per_s: 0.0, must_subscribe: false, cold_share: 0.2, cold_ms: 10_000.0,
+//! #     fall_multiple: 3.0, fall_ms: 2000.0, firms: 10_000,
+//! # };
+//! let limiter = Limiter::new(settings.clone(), 42, 0.0)?;
+//! let snapshot = Snapshot { grade: Grade::Last, written: 500.0, next: 7, knowledge: limiter.knowledge(500.0) };
+//! let bytes = snapshot.to_bytes(&settings);
+//! let read = Snapshot::from_bytes(&bytes, &settings).expect("what was written");
+//! assert!(matches!(believe(read, 510.0), Belief::Same { .. }));
+//! assert_eq!(Snapshot::from_bytes(&bytes[..40], &settings), Err(Refused::Cut));
+//! # Ok::<(), String>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use std::fmt;
+
+use fawnhill::knowledge::Knowledge;
+use fawnhill::{Millis, RequestId, Settings};
+use serde::{Deserialize, Serialize};
+
+/// Says that these are a snapshot's bytes.
+const MARK: [u8; 4] = *b"MDSN";
+/// This version of what follows the head. Another one is not read: an upgrade that changes it starts cautiously.
+pub const VERSION: u16 = 1;
+/// Mark, version, fingerprint of the settings, length, checksum.
+const HEAD: usize = 4 + 2 + 4 + 4 + 4;
+/// Most bytes of a snapshot: some 50,000 records.
+pub const MOST_BYTES: usize = 4 << 20;
+/// Knowledge older than this is not believed at all, in milliseconds.
+pub const MOST_AGE_MS: Millis = 60_000.0;
+/// Errors and silence of a server fade over this time.
+const HEALTH_MS: Millis = 10_000.0;
+/// A last snapshot that is older tells of a reader that slept: what it was told to go on with is not so any more.
+const LAST_MS: Millis = 5000.0;
+
+/// What the writer did after it wrote.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Grade {
+    /// It went on granting and spending.
+    Warm,
+    /// It had stopped before it wrote: the reader goes on in its place.
+    Last,
+}
+
+/// What a limiter knew at a moment.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// What the writer did then.
+    pub grade: Grade,
+    /// When, in milliseconds of Unix time.
+    pub written: Millis,
+    /// The writer's requests have numbers below this.
+    pub next: RequestId,
+    /// What it knew.
+    pub knowledge: Knowledge,
+}
+
+/// Why bytes are no snapshot to go by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refused {
+    /// They end before they should, or go on.
+    Cut,
+    /// They do not begin as one.
+    NoSnapshot,
+    /// Another version wrote them.
+    Version(u16),
+    /// They were written under other settings.
+    Settings,
+    /// There are more of them than may be.
+    TooLarge(usize),
+    /// The checksum does not fit them, or they make no sense.
+    Garbled(String),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Refused::Cut => f.write_str("the snapshot did not come whole"),
+            Refused::NoSnapshot => f.write_str("these bytes are no snapshot"),
+            Refused::Version(v) => write!(f, "the snapshot is of version {v}, {VERSION} is expected"),
+            Refused::Settings => f.write_str("the snapshot was written under other settings"),
+            Refused::TooLarge(n) => write!(f, "the snapshot has {n} bytes, {MOST_BYTES} at most are read"),
+            Refused::Garbled(what) => write!(f, "the snapshot is garbled: {what}"),
+        }
+    }
+}
+
+impl Snapshot {
+    /// As bytes, for a reader under the same settings.
+    pub fn to_bytes(&self, settings: &Settings) -> Vec<u8> {
+        let mut kept = self.clone();
+        loop {
+            // Nothing in it cannot be written; what cannot be is told as nothing, which a reader refuses.
+            let body = postcard::to_stdvec(&kept).unwrap_or_default();
+            if HEAD + body.len() <= MOST_BYTES {
+                let mut bytes = Vec::with_capacity(HEAD + body.len());
+                bytes.extend_from_slice(&MARK);
+                bytes.extend_from_slice(&VERSION.to_be_bytes());
+                bytes.extend_from_slice(&fingerprint(settings).to_be_bytes());
+                bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
+                bytes.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+                bytes.extend_from_slice(&body);
+                return bytes;
+            }
+            // The accounts come last to go: what they tell is not known elsewhere.
+            let k = &mut kept.knowledge;
+            k.customers.truncate(k.customers.len() / 2);
+            k.words.truncate(k.words.len() / 2);
+            if k.customers.len() + k.words.len() < 1000 {
+                k.accounts.truncate(k.accounts.len() / 2);
+                k.servers.truncate(k.servers.len() / 2);
+            }
+        }
+    }
+
+    /// Reads bytes whole or not at all.
+    ///
+    /// # Errors
+    /// Why nothing of them is believed.
+    pub fn from_bytes(bytes: &[u8], settings: &Settings) -> Result<Snapshot, Refused> {
+        if bytes.len() > MOST_BYTES {
+            return Err(Refused::TooLarge(bytes.len()));
+        }
+        if bytes.len() < MARK.len() || bytes[..MARK.len()] != MARK {
+            return Err(Refused::NoSnapshot);
+        }
+        let Some((head, body)) = bytes.split_at_checked(HEAD) else { return Err(Refused::Cut) };
+        let word = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        let version = u16::from_be_bytes([head[4], head[5]]);
+        if version != VERSION {
+            return Err(Refused::Version(version));
+        }
+        if word(6) != fingerprint(settings) {
+            return Err(Refused::Settings);
+        }
+        if body.len() != word(10) as usize {
+            return Err(Refused::Cut);
+        }
+        if crc32fast::hash(body) != word(14) {
+            return Err(Refused::Garbled("the checksum does not fit".to_string()));
+        }
+        let read: Snapshot = postcard::from_bytes(body).map_err(|e| Refused::Garbled(e.to_string()))?;
+        read.knowledge.fits(settings).map_err(Refused::Garbled)?;
+        if !read.written.is_finite() {
+            return Err(Refused::Garbled("the moment makes no sense".to_string()));
+        }
+        Ok(read)
+    }
+}
+
+/// Tells settings apart: indexes of plans and classes mean something only under their own.
+fn fingerprint(settings: &Settings) -> u32 {
+    crc32fast::hash(format!("{settings:?}").as_bytes())
+}
+
+/// What a reader makes of a snapshot.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Belief {
+    /// It is the same limiter from now on.
+    Same {
+        /// As of now.
+        knowledge: Knowledge,
+        /// Its requests have numbers from here on.
+        next: RequestId,
+    },
+    /// It starts anew, and knows this of servers, rates and demand.
+    Hints {
+        /// As of now, discounted.
+        knowledge: Knowledge,
+    },
+    /// It starts anew.
+    Nothing {
+        /// How old the snapshot is, in milliseconds.
+        age_ms: Millis,
+    },
+}
+
+/// Requests that a writer may still number after its last snapshot.
+const NUMBERS_APART: RequestId = 1 << 20;
+
+/// What is believed at `now` (Unix time in milliseconds). Clocks that went back count as no age.
+pub fn believe(snapshot: Snapshot, now: Millis) -> Belief {
+    let age_ms = (now - snapshot.written).max(0.0);
+    let mut knowledge = snapshot.knowledge;
+    match snapshot.grade {
+        _ if age_ms > MOST_AGE_MS => Belief::Nothing { age_ms },
+        Grade::Last if age_ms <= LAST_MS => {
+            later(&mut knowledge, age_ms);
+            Belief::Same { knowledge, next: snapshot.next.wrapping_add(NUMBERS_APART) }
+        }
+        Grade::Warm | Grade::Last => {
+            later(&mut knowledge, age_ms);
+            discount(&mut knowledge, age_ms);
+            Belief::Hints { knowledge }
+        }
+    }
+}
+
+/// The same, told so much later.
+fn later(k: &mut Knowledge, ms: Millis) {
+    k.started.0 += ms;
+    let fade = |(sum, span): &mut (f64, Millis)| *sum *= (-ms / *span).exp();
+    for (_, s) in &mut k.servers {
+        s.aside.0 = (s.aside.0 - ms).max(0.0);
+        s.full = (s.full - ms).max(0.0);
+        s.answered += ms;
+        fade(&mut s.heard);
+        if let Some((since, level)) = &mut s.cold {
+            *since += ms;
+            level.1 += ms;
+        }
+    }
+    for (_, c) in &mut k.customers {
+        c.even.1 += ms;
+        c.told.1 += ms;
+    }
+    k.accounts.iter_mut().for_each(|(_, a)| a.ago += ms);
+    k.lent.iter_mut().for_each(|(ago, ..)| *ago += ms);
+    k.out.iter_mut().for_each(|(ago, _)| *ago += ms);
+    for (_, cells) in &mut k.owed {
+        cells.iter_mut().for_each(|(_, owes)| *owes -= ms);
+        cells.retain(|(_, owes)| *owes > 0.0);
+    }
+    let f = &mut k.feedback;
+    f.means.iter_mut().for_each(|(sum, count)| {
+        fade(sum);
+        fade(count);
+    });
+    f.rates.iter_mut().for_each(fade);
+}
+
+/// What an old word on a server or a customer is still worth.
+fn discount(k: &mut Knowledge, ms: Millis) {
+    let stays = (-ms / HEALTH_MS).exp();
+    for (_, s) in &mut k.servers {
+        s.errors *= stays;
+        s.heard.0 *= stays;
+        s.silences = (f64::from(s.silences) * stays) as u32;
+        // What its part held has been spent by others meanwhile, as far as is known here.
+        if let Some((_, level)) = &mut s.cold {
+            *level = (0.0, 0.0);
+        }
+    }
+    for (_, c) in &mut k.customers {
+        // What filled up meanwhile was there to be spent meanwhile.
+        c.even.1 = 0.0;
+        c.room = 0.0;
+    }
+}
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -5,14 +5,15 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use fawnhill::RequestId;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,12 +22,13 @@
 use marldeal_engine::ledger::End;
 use marldeal_lifecycle::{Command, Lifecycle, Phase};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::driver::{Answer, Content, Driver};
 use crate::head::{self, Bad, Layout, MOST_BODY};
 use crate::tapped::{Tap, Tapped};
+use crate::upgrade::{Heir, Passed};
 
 /// Longest head of a request.
 const MOST_HEAD: usize = 16 << 10;
@@ -65,6 +67,12 @@
     /// Its next request is taken up then.
     rest: Cell<Option<Instant>>,
     layout: Rc<Layout>,
+    /// The last byte of an answer is still to be taken by the connection, or to be written.
+    answering: Cell<bool>,
+    taken: Cell<bool>,
+    /// To another process, between requests.
+    pass: Notify,
+    leaves: Cell<bool>,
     /// Close between requests.
     close: Notify,
     /// Close at once.
@@ -82,6 +90,10 @@
             begun: Cell::new(Some(now)),
             rest: Cell::new(None),
             layout,
+            answering: Cell::new(false),
+            taken: Cell::new(true),
+            pass: Notify::new(),
+            leaves: Cell::new(false),
             close: Notify::new(),
             cut: Notify::new(),
         }
@@ -104,6 +116,41 @@
         }
         Ok(())
     }
+    fn flushed(&mut self) {
+        if self.taken.get() {
+            self.answering.set(false);
+            if self.leaves.get() {
+                self.pass.notify_one();
+            }
+        }
+    }
+}
+
+/// An answer's body, that tells when its last byte has been taken.
+struct Answered {
+    body: Full<Bytes>,
+    client: Rc<Client>,
+}
+
+impl Body for Answered {
+    type Data = Bytes;
+    type Error = Infallible;
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if self.body.is_end_stream() {
+            self.client.taken.set(true);
+        }
+        frame
+    }
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 /// The open client connections, by number.
@@ -112,6 +159,7 @@
     all: RefCell<BTreeMap<u64, Rc<Client>>>,
     closed: Notify,
     layout: Rc<Layout>,
+    heir: Rc<Heir>,
 }
 
 impl Clients {
@@ -133,6 +181,16 @@
         }
     }
 
+    /// Sends those on which nothing is owed to another process, and the others once they have their answer.
+    fn pass_on(&self) {
+        for client in self.all.borrow().values() {
+            client.leaves.set(true);
+            if !client.answering.get() {
+                client.pass.notify_one();
+            }
+        }
+    }
+
     /// Whether an answer is owed or on its way. Connections that have not asked are not waited for: bad clients
     /// open new ones without end, and a limiter that lingers for them is missed.
     fn owe(&self) -> bool {
@@ -155,9 +213,22 @@
     }
 }
 
+/// Connections that come from a predecessor, and where they go with a successor.
+pub struct Handover {
+    /// From a predecessor.
+    pub arrivals: mpsc::UnboundedReceiver<Passed>,
+    /// To a successor.
+    pub heir: Rc<Heir>,
+}
+
 /// Accepts and serves until `stop`, then finishes what was taken and returns.
-pub async fn serve(driver: &Rc<Driver>, listener: TcpListener, stop: impl Future<Output = &'static str>) {
-    let clients = Rc::new(Clients::default());
+pub async fn serve(
+    driver: &Rc<Driver>,
+    listener: TcpListener,
+    mut handover: Handover,
+    stop: impl Future<Output = &'static str>,
+) {
+    let clients = Rc::new(Clients { heir: handover.heir, ..Clients::default() });
     let (sweeping, lives) = (clients.clone(), driver.clone());
     tokio::task::spawn_local(async move { sweeping.sweep(&lives).await });
     let mut listener = Some(listener);
@@ -166,20 +237,25 @@
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
     loop {
-        let room = clients.all.borrow().len() < driver.config.most_clients;
+        let room = clients.all.borrow().len() < driver.room(driver.config.most_clients);
         if !room {
             clients.evict();
         }
-        let tick = !room || !matches!(driver.phase(), Phase::Starting | Phase::Serving);
-        if !driver.life(Lifecycle::accepts) {
+        let tick = !room || !matches!(driver.phase(), Phase::Warming | Phase::Starting | Phase::Serving);
+        let accepts = driver.life(Lifecycle::accepts);
+        let phase = driver.phase();
+        if !accepts && phase != Phase::Warming {
             listener = None;
         }
+        if phase == Phase::HandingOver && clients.heir.is_there() {
+            clients.pass_on();
+        }
         let closes = driver.life(Lifecycle::closes_idle);
         if closes && !std::mem::replace(&mut closing, closes) {
             clients.all.borrow().values().for_each(|c| c.close.notify_one());
         }
         closing = closes;
-        if driver.life(|life, now| life.ends(now, clients.owe())) {
+        if driver.life(|life, now| life.ends(now, clients.owe(), !clients.all.borrow().is_empty())) {
             return;
         }
         let accept = async {
@@ -189,11 +265,11 @@
             }
         };
         tokio::select! {
-            accepted = accept, if room => match accepted {
+            accepted = accept, if room && accepts => match accepted {
                 Ok((stream, _)) => {
                     number += 1;
                     failing = false;
-                    open(driver, &clients, number, stream);
+                    open(driver, &clients, number, stream, None);
                 }
                 // Out of descriptors, or the client has gone already: an idle connection makes way, and what
                 // waits to be accepted is taken a little later.
@@ -211,60 +287,101 @@
                 let _ = driver.command(Command::Stop);
             }
             () = driver.phase_changed.notified() => {}
+            Some(passed) = handover.arrivals.recv() => {
+                number += 1;
+                adopt(driver, &clients, number, passed);
+            }
             () = clients.closed.notified() => {}
             () = tokio::time::sleep(TICK), if tick => {}
         }
     }
 }
 
-fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream) {
+/// Takes in a connection that another process, or this one, held before.
+fn adopt(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, passed: Passed) {
+    let Passed { stream, begun, read } = passed;
+    let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else { return };
+    open(driver, clients, number, stream, Some((begun, read)));
+}
+
+fn open(
+    driver: &Rc<Driver>,
+    clients: &Rc<Clients>,
+    number: u64,
+    stream: TcpStream,
+    before: Option<(Option<Duration>, Bytes)>,
+) {
     let _ = stream.set_nodelay(true);
     let client = Rc::new(Client::new(clients.layout.clone()));
+    let mut read = Bytes::new();
+    if let Some((begun, bytes)) = before {
+        client.begun.set(begun.map(|waited| Instant::now().checked_sub(waited).unwrap_or_else(Instant::now)));
+        client.spoke.set(!bytes.is_empty());
+        read = bytes;
+    }
     clients.all.borrow_mut().insert(number, client.clone());
     let (driver, clients) = (driver.clone(), clients.clone());
     tokio::task::spawn_local(async move {
-        connection(&driver, &clients, &client, stream).await;
+        connection(&driver, &clients, &client, stream, read).await;
         clients.all.borrow_mut().remove(&number);
         clients.closed.notify_one();
     });
 }
 
-async fn connection(driver: &Rc<Driver>, clients: &Rc<Clients>, client: &Rc<Client>, stream: TcpStream) {
+async fn connection(
+    driver: &Rc<Driver>,
+    clients: &Rc<Clients>,
+    client: &Rc<Client>,
+    stream: TcpStream,
+    read: Bytes,
+) {
     let service = service_fn(|request| {
         let (driver, clients, client) = (driver.clone(), clients.clone(), client.clone());
         async move {
             client.busy.set(true);
+            client.answering.set(true);
+            client.taken.set(false);
             client.reading.set(true);
             let mut answer = respond(&driver, &client, request).await;
             if answer.status() == StatusCode::TOO_MANY_REQUESTS && driver.flooding() {
                 let open = u32::try_from(clients.all.borrow().len()).unwrap_or(u32::MAX);
                 client.rest.set(Some(Instant::now() + REST_EACH.saturating_mul(open)));
             }
-            if !driver.life(Lifecycle::keeps_alive) {
+            if !driver.life(Lifecycle::keeps_alive) && !clients.heir.is_there() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             client.busy.set(false);
             client.reading.set(false);
             client.used.set(Instant::now());
-            Ok::<_, Infallible>(answer)
+            client.taken.set(answer.body().is_end_stream());
+            Ok::<_, Infallible>(answer.map(|body| Answered { body, client: client.clone() }))
         }
     });
     let serving = http1::Builder::new()
         .max_buf_size(MOST_HEAD)
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(Tapped { stream, tap: client.clone() }), service);
-    tokio::pin!(serving);
+        .serve_connection(TokioIo::new(Tapped { stream, tap: client.clone(), read }), service);
+    let mut serving = serving;
     let mut closing = false;
     loop {
         tokio::select! {
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
-            _ = &mut serving => return,
+            _ = Pin::new(&mut serving) => return,
+            () = client.pass.notified() => if !client.answering.get() && !client.busy.get() {
+                let parts = serving.into_parts();
+                let begun = client.begun.get().map(|at| at.elapsed());
+                let Ok(stream) = parts.io.into_inner().stream.into_std() else { return };
+                let passed = Passed { stream, begun, read: parts.read_buf };
+                // The heir has gone: the connection ends here.
+                clients.heir.pass(passed);
+                return;
+            },
             // A request that came in between the word to cut and this has been taken: it stays.
             () = client.cut.notified() => if !client.busy.get() { return },
             () = client.close.notified(), if !closing => {
                 closing = true;
-                serving.as_mut().graceful_shutdown();
+                Pin::new(&mut serving).graceful_shutdown();
             }
         }
     }
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -17,6 +17,7 @@
 use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
 use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
 use marldeal_outcomes::{Found, Question, Record};
+use marldeal_snapshot::{Belief, Grade, Snapshot};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
 
@@ -98,6 +99,8 @@
     fn start(&self, driver: Rc<Driver>, job: Job, stopped: oneshot::Receiver<Outcome>);
     /// Closes the idle connections to a server.
     fn close_idle(&self, server: &ServerId);
+    /// Closes idle connections until no more than so many are open, where that can be.
+    fn trim(&self, most: usize);
 }
 
 /// A request of the direct front, until its final answer.
@@ -170,7 +173,14 @@
     pub phase_changed: Notify,
     reloads: Cell<Reloads>,
     clock: Clock,
-    mail: Option<Rc<UdpSocket>>,
+    /// Where peers are told and heard; nowhere while another process of this limiter does.
+    mail: RefCell<Option<Rc<UdpSocket>>>,
+    /// The mail has been closed.
+    pub mail_closed: Notify,
+    /// A predecessor has told what it knows.
+    follows: Cell<bool>,
+    /// Another process of this limiter lives: each holds half of what one may.
+    overlaps: Cell<bool>,
     upstream: Rc<dyn Upstream>,
     state: RefCell<State>,
     /// Final answers by key, where they are kept.
@@ -185,12 +195,8 @@
 const UNTOLD_MS: f64 = 2000.0;
 
 impl Driver {
-    /// A limiter with the list of servers that it last had.
-    pub fn new(
-        config: Arc<Config>,
-        upstream: Rc<dyn Upstream>,
-        mail: Option<Rc<UdpSocket>>,
-    ) -> Result<Rc<Driver>, String> {
+    /// A limiter with the list of servers that it last had; `beside` one that serves in its place still.
+    pub fn new(config: Arc<Config>, upstream: Rc<dyn Upstream>, beside: bool) -> Result<Rc<Driver>, String> {
         let clock = Clock::start();
         let engine = Engine::new(config.settings.clone(), config.seed, clock.now())
             .map_err(|e| format!("settings: {e}"))?;
@@ -204,7 +210,10 @@
             addresses: HashMap::new(),
             armed: None,
         };
-        let life = Lifecycle::new(config.times);
+        let life = match beside {
+            true => Lifecycle::beside_predecessor(config.times),
+            false => Lifecycle::new(config.times),
+        };
         let driver = Rc::new(Driver {
             sources: Sources::new(config.discovery),
             config,
@@ -215,7 +224,10 @@
             phase_changed: Notify::new(),
             reloads: Cell::default(),
             clock,
-            mail,
+            mail: RefCell::default(),
+            mail_closed: Notify::new(),
+            follows: Cell::new(false),
+            overlaps: Cell::new(beside),
             upstream,
             state: RefCell::new(state),
             record: RefCell::new(None),
@@ -246,7 +258,10 @@
     pub fn able(&self) -> bool {
         let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS;
         let now = self.now();
-        let able = told && self.state.borrow().engine.ready(now);
+        let engine = &self.state.borrow().engine;
+        // Beside a predecessor its accounts are still to come, as full as they are: nothing has to fill here first.
+        let follows = self.follows.get() && self.phase() == Phase::Warming && engine.has_servers();
+        let able = told && (follows || engine.ready(now));
         self.life.borrow_mut().able(now, able);
         able
     }
@@ -281,6 +296,75 @@
         said
     }
 
+    /// Binds the address for peers' datagrams, where there is one.
+    ///
+    /// # Errors
+    /// It cannot be bound, as while another process has it.
+    pub async fn open_mail(&self) -> std::io::Result<Option<Rc<UdpSocket>>> {
+        let Some(at) = self.config.peer_listen else { return Ok(None) };
+        let socket = Rc::new(UdpSocket::bind(at).await?);
+        *self.mail.borrow_mut() = Some(socket.clone());
+        Ok(Some(socket))
+    }
+
+    /// Tells and hears peers no more: nothing is granted from here on.
+    pub fn close_mail(&self) {
+        drop(self.mail.borrow_mut().take());
+        self.mail_closed.notify_waiters();
+    }
+
+    /// Another process of this limiter lives, or none does any more.
+    pub fn overlap(&self, overlaps: bool) {
+        self.overlaps.set(overlaps);
+        self.upstream.trim(self.room(self.config.most_servers));
+    }
+
+    /// How much of a bound this process may use.
+    pub fn room(&self, most: usize) -> usize {
+        if self.overlaps.get() {
+            most / 2
+        } else {
+            most
+        }
+    }
+
+    /// Closes all idle connections to servers.
+    pub fn close_idle(&self) {
+        self.upstream.trim(0);
+    }
+
+    /// What is known now, as bytes.
+    pub fn snapshot(&self, grade: Grade) -> Vec<u8> {
+        self.state.borrow().engine.snapshot(self.now(), grade).to_bytes(&self.config.settings)
+    }
+
+    /// Learns what another process of this limiter knew; tells what was made of it.
+    pub fn learn(self: &Rc<Self>, bytes: &[u8]) -> String {
+        let read = match Snapshot::from_bytes(bytes, &self.config.settings) {
+            Ok(read) => read,
+            Err(why) => return format!("{why}; it starts as if alone"),
+        };
+        let now = self.now();
+        let belief = marldeal_snapshot::believe(read, now);
+        let said = match &belief {
+            Belief::Same { knowledge, .. } => format!(
+                "goes on as the same limiter with {} servers, {} customers, {} accounts",
+                knowledge.servers.len(),
+                knowledge.customers.len(),
+                knowledge.accounts.len()
+            ),
+            Belief::Hints { .. } => "knows the servers; ceilings start as if spent".to_string(),
+            Belief::Nothing { age_ms } => format!("a snapshot {age_ms} ms old is not believed"),
+        };
+        self.follows.set(!matches!(belief, Belief::Nothing { .. }));
+        let mut state = self.state.borrow_mut();
+        state.engine.learn(now, belief);
+        if state.rearm() {
+            self.timers_changed.notify_one();
+        }
+        said
+    }
+
     /// The operators' figures, a line each.
     pub fn figures(&self) -> String {
         let state = self.state.borrow();
@@ -580,7 +664,7 @@
             Some(position) => self.config.peers.get(position as usize).copied(),
             None => self.config.peers_all,
         };
-        if let (Some(socket), Some(to), true) = (&self.mail, to, body.len() <= MOST_DATAGRAM) {
+        if let (Some(socket), Some(to), true) = (&*self.mail.borrow(), to, body.len() <= MOST_DATAGRAM) {
             let _ = socket.try_send_to(body, to);
         }
     }
--- a/marldeal/src/external.rs
+++ b/marldeal/src/external.rs
@@ -482,7 +482,7 @@
                         full = false;
                         let _ = stream.set_nodelay(true);
                         let late = Some(Box::pin(tokio::time::sleep(PREFACE_TIME)));
-                        yield Ok(Tapped { stream, tap: Proxy { seen: 0, late, _place: place } });
+                        yield Ok(Tapped { stream, tap: Proxy { seen: 0, late, _place: place }, read: bytes::Bytes::new() });
                     }
                     Err(_) => {
                         if !std::mem::replace(&mut full, true) {
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod run;
 pub mod servers;
 pub mod tapped;
+pub mod upgrade;
 pub mod words;
--- a/marldeal/src/peers.rs
+++ b/marldeal/src/peers.rs
@@ -7,11 +7,15 @@
 
 use crate::driver::{Driver, MOST_DATAGRAM};
 
-/// Hands what peers tell to the module. Guards against strangers and oversized datagrams: both are ignored.
+/// Hands what peers tell to the module, until the mail is closed. Guards against strangers and oversized datagrams: both are ignored.
 pub async fn listen(driver: Rc<Driver>, socket: Rc<UdpSocket>) {
     let mut buffer = [0u8; MOST_DATAGRAM + 1];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buffer) => received,
+            () = driver.mail_closed.notified() => return,
+        };
+        match received {
             Ok((length, sender)) if length <= MOST_DATAGRAM => {
                 if let Some(from) = position(&driver.config.peers, sender) {
                     driver.heard(from, buffer[..length].to_vec());
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -4,28 +4,31 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
+use crate::clients::Handover;
 use crate::config::Config;
 use crate::driver::Driver;
 use crate::extensions::Extensions;
 use crate::servers::Servers;
-use crate::{clients, discovery, external, management, mistakes, peers};
+use crate::upgrade::{Heir, Meeting};
+use crate::{clients, discovery, external, management, mistakes, peers, upgrade};
 
 /// Runs a limiter as the environment configures it, with what a file switches on beside.
 ///
 /// # Errors
 /// One plain line: what cannot be read, or listened on.
 pub fn run(extensions: Option<&Path>) -> Result<(), String> {
+    let inherited = upgrade::inherit::listener()?;
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-    runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(serve(extensions))
+    runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(serve(extensions, inherited))
 }
 
 /// Serves until SIGTERM or SIGINT, then finishes what was taken.
-async fn serve(extensions: Option<&Path>) -> Result<(), String> {
+async fn serve(extensions: Option<&Path>, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     // Before all else: until it is handled, a SIGHUP ends the program.
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -35,18 +38,39 @@
         Some(path) => Extensions::from_file(path).map_err(|found| mistakes::one_line(&found))?,
         None => Extensions::default(),
     };
-    let listener = listen(config.listen).await?;
-    let mail = match config.peer_listen {
-        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.map_err(|e| format!("peer_listen {at}: {e}"))?)),
+    // Only an inherited listener can be shared by two processes: without one there is nothing to hand over.
+    let meeting = inherited.is_some().then(|| upgrade::path(&config.name));
+    let predecessor = match &meeting {
+        Some(path) => upgrade::predecessor(path).await,
         None => None,
     };
+    let listener = match inherited {
+        Some(listener) => {
+            let adopted = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
+            adopted.map_err(|e| format!("{}: {e}", upgrade::inherit::VARIABLE))?
+        }
+        None => listen(config.listen).await?,
+    };
     let servers = Servers::new(&config);
-    let driver = Driver::new(config, Rc::new(servers.clone()), mail.clone())?;
+    let beside = predecessor.is_some();
+    let driver = Driver::new(config, Rc::new(servers.clone()), beside)?;
     if let Some(bounds) = extensions.final_answers {
         driver.keep_answers(bounds);
         driver.log(&format!("keeps up to {} final answers by key", bounds.most_answers));
     }
+    if !beside {
+        let mail = driver.open_mail().await.map_err(|e| format!("peer_listen: {e}"))?;
+        if let Some(mail) = mail {
+            tokio::task::spawn_local(peers::listen(driver.clone(), mail));
+        }
+    }
     let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+    if let Some(at) = driver.config.management {
+        let listener = listen(at).await?;
+        let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
+        driver.log(&format!("management on {at}"));
+        tokio::task::spawn_local(management::serve(driver.clone(), listener));
+    }
     let (stop, stopped) = watch::channel(false);
     let stop = Rc::new(stop);
     let proxies = match extensions.external_processor {
@@ -60,17 +84,19 @@
         None => None,
     };
     driver.log(&format!("serves on {at}"));
-    if let Some(mail) = mail {
-        tokio::task::spawn_local(peers::listen(driver.clone(), mail));
-    }
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(async move { servers.sweep().await });
     tokio::task::spawn_local(discovery::watch(driver.clone()));
-    if let Some(at) = driver.config.management {
-        let listener = listen(at).await?;
-        let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
-        driver.log(&format!("management on {at}"));
-        tokio::task::spawn_local(management::serve(driver.clone(), listener));
+    let (arrive, arrivals) = mpsc::unbounded_channel();
+    let heir = Rc::<Heir>::default();
+    if let Some(path) = meeting {
+        let (driver, at) = (driver.clone(), Meeting { path, heir: heir.clone() });
+        match predecessor {
+            Some(stream) => drop(tokio::task::spawn_local(async move {
+                upgrade::succeed(driver, stream, &at, arrive).await;
+            })),
+            None => drop(tokio::task::spawn_local(upgrade::offer(driver, at))),
+        }
     }
     let reloading = driver.clone();
     tokio::task::spawn_local(async move {
@@ -87,10 +113,11 @@
         let _ = stopping.send(true);
         why
     };
-    clients::serve(&driver, listener, signalled).await;
+    clients::serve(&driver, listener, Handover { arrivals, heir: heir.clone() }, signalled).await;
     if let Some(proxies) = proxies {
         let _ = proxies.await;
     }
+    heir.finish().await;
     driver.log("stops");
     Ok(())
 }
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -128,14 +128,13 @@
     idle_for: Duration,
     /// All open ones, idle or not.
     open: Rc<Cell<usize>>,
-    most: usize,
 }
 
 impl Pool {
-    /// Holds at most `most` connections; drops what has been idle for `idle_ms`.
-    fn new(most: usize, idle_ms: f64) -> Pool {
+    /// Drops what has been idle for `idle_ms`.
+    fn new(idle_ms: f64) -> Pool {
         let idle_for = Duration::from_secs_f64(idle_ms / 1000.0);
-        Pool { idle: HashMap::new(), idle_for, open: Rc::default(), most }
+        Pool { idle: HashMap::new(), idle_for, open: Rc::default() }
     }
 
     /// Closes the idle connections to a server.
@@ -167,16 +166,27 @@
     }
 
     /// Room for one more connection; the one idle for longest makes way.
-    fn reserve(&mut self) -> Option<Room> {
-        if self.open.get() >= self.most {
-            let oldest = self.idle.iter().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| l[0].since);
-            let server = oldest.map(|(server, _)| server.clone())?;
-            self.idle.get_mut(&server)?.remove(0);
+    fn reserve(&mut self, most: usize) -> Option<Room> {
+        if self.open.get() >= most {
+            self.drop_oldest()?;
         }
         self.open.set(self.open.get() + 1);
         Some(Room(self.open.clone()))
     }
 
+    /// Closes the connection idle for longest; nothing if none is idle.
+    fn drop_oldest(&mut self) -> Option<()> {
+        let oldest = self.idle.iter().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| l[0].since);
+        let server = oldest.map(|(server, _)| server.clone())?;
+        self.idle.get_mut(&server)?.remove(0);
+        Some(())
+    }
+
+    /// Closes idle ones until no more than so many are open.
+    fn trim(&mut self, most: usize) {
+        while self.open.get() > most && self.drop_oldest().is_some() {}
+    }
+
     fn put(&mut self, server: &ServerId, link: Link) {
         self.idle.entry(server.clone()).or_default().push(Idle { link, since: Instant::now() });
     }
@@ -199,7 +209,7 @@
 impl Servers {
     /// With the bounds that the configuration sets.
     pub fn new(config: &Config) -> Rc<Servers> {
-        Rc::new(Servers { pool: RefCell::new(Pool::new(config.most_servers, config.idle_ms)) })
+        Rc::new(Servers { pool: RefCell::new(Pool::new(config.idle_ms)) })
     }
 
     /// Drops idle connections in time, for ever.
@@ -218,6 +228,9 @@
     fn close_idle(&self, server: &ServerId) {
         self.pool.borrow_mut().drop_idle(server);
     }
+    fn trim(&self, most: usize) {
+        self.pool.borrow_mut().trim(most);
+    }
 }
 
 /// Makes one attempt and reports its end. What is stopped closes its connection first: the `select` has
@@ -304,7 +317,8 @@
 }
 
 async fn connect(servers: &Servers, driver: &Rc<Driver>, addr: SocketAddr) -> Result<Link, Outcome> {
-    let room = servers.pool.borrow_mut().reserve().ok_or(Outcome::NotSent)?;
+    let most = driver.room(driver.config.most_servers);
+    let room = servers.pool.borrow_mut().reserve(most).ok_or(Outcome::NotSent)?;
     let limit = Duration::from_secs_f64(driver.config.settings.connect_timeout_ms.max(1.0) / 1000.0);
     let stream = match timeout(limit, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
@@ -322,7 +336,7 @@
         taken: Cell::new(false),
         wrote: Cell::new(false),
     });
-    let wire = TokioIo::new(Tapped { stream, tap: progress.clone() });
+    let wire = TokioIo::new(Tapped { stream, tap: progress.clone(), read: Bytes::new() });
     let made = http1::Builder::new().max_buf_size(MOST_BODY).handshake(wire).await;
     let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
     Ok(Link { sender, connection, progress, _room: room })
--- a/marldeal/src/tapped.rs
+++ b/marldeal/src/tapped.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -25,6 +26,8 @@
     pub stream: TcpStream,
     /// What it tells.
     pub tap: T,
+    /// What was read of it before: comes first.
+    pub read: Bytes,
 }
 
 impl<T: Tap> AsyncRead for Tapped<T> {
@@ -34,6 +37,11 @@
         to: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = to.filled().len();
+        if !self.read.is_empty() {
+            let count = self.read.len().min(to.remaining());
+            to.put_slice(&self.read.split_to(count));
+            return Poll::Ready(self.tap.read(cx, count));
+        }
         let done = Pin::new(&mut self.stream).poll_read(cx, to);
         match self.tap.read(cx, to.filled().len() - before) {
             Ok(()) => done,
--- /dev/null
+++ b/marldeal/src/upgrade/frame.rs
@@ -0,0 +1,131 @@
+//! What two processes of one limiter write to each other, as bytes; without I/O. A frame is its kind, its length and its
+//! body; a connection's frame comes with one descriptor beside it.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use marldeal_snapshot::MOST_BYTES;
+
+/// The version of this protocol.
+pub const VERSION: u8 = 1;
+/// Kind and length.
+const HEAD: usize = 5;
+/// Longest body: a snapshot, or what was read of one request.
+const MOST_BODY: usize = MOST_BYTES;
+
+/// One thing said.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Frame {
+    /// The new process: here it is, speaking this version.
+    Hello(u8),
+    /// The old one: what it knows.
+    Snapshot(Bytes),
+    /// The old one: a client's connection.
+    Connection {
+        /// The request that has begun on it has waited so long, in milliseconds; none has begun.
+        begun_ms: Option<u32>,
+        /// What has been read of it.
+        read: Bytes,
+    },
+    /// The old one: another new process is here already.
+    Busy,
+}
+
+impl Frame {
+    /// As bytes.
+    pub fn to_bytes(&self) -> Bytes {
+        let mut body = BytesMut::new();
+        let kind = match self {
+            Frame::Hello(version) => {
+                body.put_u8(*version);
+                1
+            }
+            Frame::Snapshot(bytes) => {
+                body.extend_from_slice(bytes);
+                2
+            }
+            Frame::Connection { begun_ms, read } => {
+                body.put_u32(begun_ms.map_or(u32::MAX, |ms| ms.min(u32::MAX - 1)));
+                body.extend_from_slice(read);
+                3
+            }
+            Frame::Busy => 4,
+        };
+        let mut frame = BytesMut::with_capacity(HEAD + body.len());
+        frame.put_u8(kind);
+        frame.put_u32(body.len() as u32);
+        frame.extend_from_slice(&body);
+        frame.freeze()
+    }
+
+    /// Takes one frame off the front; nothing until it is whole.
+    ///
+    /// # Errors
+    /// What is no frame.
+    pub fn take(bytes: &mut BytesMut) -> Result<Option<Frame>, &'static str> {
+        if bytes.len() < HEAD {
+            return Ok(None);
+        }
+        let (kind, length) =
+            (bytes[0], u32::from_be_bytes([bytes[1], bytes[2], bytes[3], bytes[4]]) as usize);
+        if length > MOST_BODY {
+            return Err("a frame is too long");
+        }
+        if bytes.len() < HEAD + length {
+            return Ok(None);
+        }
+        bytes.advance(HEAD);
+        let mut body = bytes.split_to(length).freeze();
+        match (kind, length) {
+            (1, 1) => Ok(Some(Frame::Hello(body[0]))),
+            (2, _) => Ok(Some(Frame::Snapshot(body))),
+            (3, 4..) => {
+                let begun_ms = Some(body.get_u32()).filter(|ms| *ms != u32::MAX);
+                Ok(Some(Frame::Connection { begun_ms, read: body }))
+            }
+            (4, 0) => Ok(Some(Frame::Busy)),
+            _ => Err("a frame makes no sense"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn any_frame() -> impl Strategy<Value = Frame> {
+        let bytes = || prop::collection::vec(any::<u8>(), 0..50).prop_map(Bytes::from);
+        prop_oneof![
+            any::<u8>().prop_map(Frame::Hello),
+            bytes().prop_map(Frame::Snapshot),
+            (prop::option::of(0..u32::MAX - 1), bytes())
+                .prop_map(|(begun_ms, read)| Frame::Connection { begun_ms, read }),
+            Just(Frame::Busy),
+        ]
+    }
+
+    proptest! {
+        /// However the bytes fall into reads, the frames are those that were written.
+        #[test]
+        fn frames_in_any_pieces(frames in prop::collection::vec(any_frame(), 0..8), piece in 1usize..40) {
+            let all: Vec<u8> = frames.iter().flat_map(|f| f.to_bytes()).collect();
+            let (mut buffer, mut read) = (BytesMut::new(), Vec::new());
+            for part in all.chunks(piece) {
+                buffer.extend_from_slice(part);
+                while let Some(frame) = Frame::take(&mut buffer).expect("frames") {
+                    read.push(frame);
+                }
+            }
+            prop_assert_eq!(read, frames);
+            prop_assert!(buffer.is_empty());
+        }
+
+        /// No bytes make the reader panic, or wait for more than a frame may hold.
+        #[test]
+        fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
+            let mut buffer = BytesMut::from(&bytes[..]);
+            while let Ok(Some(_)) = Frame::take(&mut buffer) {}
+            let mut long = BytesMut::from(&[2u8, 0xff, 0xff, 0xff, 0xff][..]);
+            prop_assert!(Frame::take(&mut long).is_err());
+        }
+    }
+}
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -55,6 +55,25 @@
     command
 }
 
+/// Starts the program and keeps what it says.
+pub fn spawn(command: &mut Command) -> (Child, Arc<Mutex<String>>) {
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+    let stderr = BufReader::new(child.stderr.take().expect("piped"));
+    let log = Arc::new(Mutex::new(String::new()));
+    let all = log.clone();
+    std::thread::spawn(move || {
+        for text in stderr.lines().map_while(Result::ok) {
+            all.lock().expect("lock").push_str(&format!("{text}\n"));
+        }
+    });
+    (child, log)
+}
+
+/// The configuration that all tests begin with.
+pub fn config(discovery: SocketAddr) -> String {
+    CONFIG.replace("DISCOVERY", &discovery.to_string())
+}
+
 impl Node {
     pub fn start(servers: &[(&str, &Stub, &str)]) -> Node {
         Node::with(servers, |config| config)
@@ -126,7 +145,7 @@
     ) -> Node {
         let entries: Vec<_> = servers.iter().map(|(id, stub, state)| (*id, stub.addr, *state)).collect();
         let discovery = Discovery::new(line(1, true, &entries));
-        let config = write_config(&alter(CONFIG.replace("DISCOVERY", &discovery.addr.to_string())));
+        let config = write_config(&alter(self::config(discovery.addr)));
         // At the start the variable stands above the file; a reload goes by the file.
         let told = discovery.addr.to_string();
         let extensions = extensions.map(|text| write_file(&text, "toml"));
@@ -134,15 +153,7 @@
         if let Some(path) = &extensions {
             command.arg("--extensions").arg(path);
         }
-        let mut child = command.env("ROUTER_DISCOVERY", told).spawn().expect("the program starts");
-        let stderr = BufReader::new(child.stderr.take().expect("piped"));
-        let log = Arc::new(Mutex::new(String::new()));
-        let all = log.clone();
-        std::thread::spawn(move || {
-            for text in stderr.lines().map_while(Result::ok) {
-                all.lock().expect("lock").push_str(&format!("{text}\n"));
-            }
-        });
+        let (child, log) = spawn(command.env("ROUTER_DISCOVERY", told));
         let mut addr = None;
         wait_for("the program to listen", || {
             let text = log.lock().expect("lock");
--- /dev/null
+++ b/src/knowledge.rs
@@ -0,0 +1,308 @@
+//! What a limiter knows, as plain data that another one can take over. Moments are told as times from the moment of
+//! telling, so that the two clocks need not agree. It decides nothing: what a reader believes of it is decided in
+//! `marldeal-snapshot`, what it means in `policy.rs`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::interface::*;
+use crate::state::*;
+
+/// Most records of customers, and of keepers' accounts, that are told; what others owe is told in the sketches.
+const MOST_RECORDS: usize = 20_000;
+
+/// A value that fades: what it is now, and its span.
+type Faded = (f64, Millis);
+/// A store: its level, and how long ago that was.
+type Level = (f64, Millis);
+/// A sketch of debts: its seed, and how much longer each cell owes.
+type Sketch = (u64, Vec<(u32, Millis)>);
+
+/// All of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// How long ago the limiter started, and its start as peers know it.
+    pub started: (Millis, u32),
+    /// Servers, with their ids.
+    pub servers: Vec<(String, Health)>,
+    /// What a member remembers of customers.
+    pub customers: Vec<(CustomerId, Member)>,
+    /// What a keeper holds for customers.
+    pub accounts: Vec<(CustomerId, Kept)>,
+    /// Words that a keeper gave: position and start of the member, its request, customer, units, and whether it was
+    /// granted, counts as out, and is done.
+    pub words: Vec<(u32, u32, RequestId, CustomerId, f64, [bool; 3])>,
+    /// Units granted under ceilings: how long ago, whose, how many.
+    pub lent: Vec<(Millis, CustomerId, f64)>,
+    /// Grants that count as out: how long ago, and whose.
+    pub out: Vec<(Millis, (u32, u32, RequestId))>,
+    /// What forgotten customers owe: even parts, stores, ceilings.
+    pub owed: [Sketch; 3],
+    /// Limits, rates and the rest of the feedback.
+    pub feedback: Feedback,
+}
+
+/// What is known of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Health {
+    /// Smoothed latency and share of errors.
+    pub latency: Millis,
+    /// Smoothed share of errors.
+    pub errors: f64,
+    /// Silent attempts in a row.
+    pub silences: u32,
+    /// Set aside for so much longer, and for how long at a time.
+    pub aside: (Millis, Millis),
+    /// Passed over as full for so much longer.
+    pub full: Millis,
+    /// It last answered so long ago.
+    pub answered: Millis,
+    /// It counts as cold since so long ago, and what its part holds.
+    pub cold: Option<(Millis, Level)>,
+    /// Answers of late.
+    pub heard: Faded,
+}
+
+/// A member's record of a customer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its even part.
+    pub even: Level,
+    /// Units in the keeper's store, as told last.
+    pub room: f64,
+    /// Demand as a multiple of the quota, and how long ago a keeper told it.
+    pub told: (f32, Millis),
+    /// Units refused by chance since the last ask.
+    pub unasked: f32,
+    /// Limiters of its set.
+    pub spread: u16,
+    /// Its plan.
+    pub plan: u8,
+    /// Seen more than once.
+    pub known: bool,
+}
+
+/// A keeper's account of a customer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// How long ago the levels were so.
+    pub ago: Millis,
+    /// Units in the store and in the ceiling's part, units lent under it.
+    pub levels: [f64; 3],
+    /// Units asked for and units granted, of late.
+    pub rates: [f64; 2],
+    /// Requests granted and not done.
+    pub open: u32,
+    /// Its plan.
+    pub plan: u8,
+    /// The keeper's rank.
+    pub rank: u8,
+}
+
+/// The feedback's state.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Feedback {
+    /// Slot limit and numBigQueries.
+    pub limit: [f64; 2],
+    /// Means of own latency, all latency and refusals as full: sum and count.
+    pub means: [(Faded, Faded); 3],
+    /// Good answers, their aims, hold rate, admit rate, ghosts, attempts wanted.
+    pub rates: [Faded; 6],
+    /// Usual latency, pace, fleet, usual wait for a word, retries saved up.
+    pub figures: [f64; 5],
+    /// Units of recent requests.
+    pub units: Vec<f64>,
+}
+
+impl Knowledge {
+    /// Whether it can belong to these settings; what it can not is named.
+    ///
+    /// # Errors
+    /// The first value that does not fit.
+    pub fn fits(&self, settings: &Settings) -> Result<(), String> {
+        let plans = settings.plans.len();
+        let fine = |x: &f64| x.is_finite();
+        let customer = |(_, c): &(CustomerId, Member)| {
+            usize::from(c.plan) < plans && c.spread > 0 && fine(&c.even.0) && fine(&c.even.1) && fine(&c.room)
+        };
+        let account = |(_, a): &(CustomerId, Kept)| {
+            let figures = a.levels.iter().chain(&a.rates).chain([&a.ago]);
+            usize::from(a.plan) < plans && a.rank < 3 && figures.into_iter().all(fine)
+        };
+        let server = |(_, s): &(String, Health)| fine(&s.latency) && fine(&s.errors) && fine(&s.heard.0);
+        let f = &self.feedback;
+        let figures = f.limit.iter().chain(&f.figures).chain(&f.units);
+        let faded = f.means.iter().flat_map(|(a, b)| [a, b]).chain(&f.rates);
+        let spans = faded.clone().all(|(value, span)| fine(value) && fine(span) && *span > 0.0);
+        match () {
+            () if !self.customers.iter().all(customer) => Err("a customer's record does not fit".to_string()),
+            () if !self.accounts.iter().all(account) => Err("an account does not fit".to_string()),
+            () if !self.servers.iter().all(server) => Err("a server's figures make no sense".to_string()),
+            () if !spans || !figures.into_iter().all(fine) => Err("the feedback makes no sense".to_string()),
+            () => Ok(()),
+        }
+    }
+}
+
+fn faded(f: &Fading, now: Millis) -> Faded {
+    (f.value(now), f.span)
+}
+
+fn fading((sum, span): Faded, now: Millis) -> Fading {
+    Fading { sum, at: now, span }
+}
+
+fn mean((sum, count): (Faded, Faded), now: Millis) -> Mean {
+    Mean { sum: fading(sum, now), count: fading(count, now) }
+}
+
+impl Limiter {
+    /// All that it knows at `now`. Customers beyond a bound are told by what they owe alone.
+    pub fn knowledge(&self, now: Millis) -> Knowledge {
+        let ago = |at: Millis| now - at;
+        let mut owed = [&self.owed.evens, &self.owed.stores, &self.owed.ceilings].map(|d| d.owing(now));
+        let (customers, rest): (Vec<_>, Vec<_>) =
+            self.customers.iter().enumerate().partition(|(n, _)| *n < MOST_RECORDS);
+        let (accounts, more): (Vec<_>, Vec<_>) =
+            self.accounts.iter().enumerate().partition(|(n, _)| *n < MOST_RECORDS);
+        if !rest.is_empty() || !more.is_empty() {
+            let mut all = self.owed.clone();
+            rest.iter().for_each(|(_, (id, c))| all.evens.owe(&(**id, c.plan), c.full_at(&self.settings)));
+            for (_, (id, a)) in more {
+                let (store, ceiling) = a.full_at(&self.settings.plans[usize::from(a.plan)], self.born);
+                all.stores.owe(&(*id, a.plan), store);
+                all.ceilings.owe(&(*id, a.plan), ceiling);
+            }
+            owed = [&all.evens, &all.stores, &all.ceilings].map(|d| d.owing(now));
+        }
+        let means = [&self.own, &self.latency, &self.full];
+        let rates = [&self.done, &self.aims, &self.hold_rate, &self.admit_rate, &self.ghosts, &self.wanted];
+        Knowledge {
+            started: (ago(self.born), self.incarnation),
+            servers: self.servers.iter().map(|(id, s)| (id.to_string(), health(s, now))).collect(),
+            customers: customers.into_iter().map(|(_, (id, c))| (*id, member(c, now))).collect(),
+            accounts: accounts.into_iter().map(|(_, (id, a))| (*id, kept(a, now))).collect(),
+            words: self
+                .grants
+                .iter()
+                .map(|(k, g)| (k.0, k.1, k.2, g.customer, g.units, [g.granted, g.open, g.done]))
+                .collect(),
+            lent: self.lent.iter().map(|(at, customer, units)| (ago(*at), *customer, *units)).collect(),
+            out: self.opened.iter().map(|(at, key)| (ago(*at), *key)).collect(),
+            owed,
+            feedback: Feedback {
+                limit: [self.limit, self.big],
+                means: means.map(|m| (faded(&m.sum, now), faded(&m.count, now))),
+                rates: rates.map(|r| faded(r, now)),
+                figures: [self.usual, self.pace, self.fleet, self.wait_ms, self.retries],
+                units: self.units.iter().copied().collect(),
+            },
+        }
+    }
+
+    /// Takes another limiter's knowledge over, as of `now`, in place of its own; the roster stays its own. `same`: that
+    /// one has stopped, and this one goes on in its place, also to its peers. Otherwise accounts start as at any start.
+    pub fn learn(&mut self, now: Millis, known: &Knowledge, same: bool) {
+        let at = |ago: Millis| now - ago;
+        if same {
+            (self.born, self.incarnation) = (at(known.started.0), known.started.1);
+            self.joined = true;
+            for (id, a) in &known.accounts {
+                let [store, ceiling, lent] = a.levels;
+                let [demand, let_in] = a.rates;
+                let account = Account {
+                    at: at(a.ago),
+                    store,
+                    ceiling,
+                    lent,
+                    demand,
+                    let_in,
+                    open: a.open,
+                    plan: a.plan,
+                    rank: a.rank,
+                };
+                let _ = self.accounts.insert(now, *id, account);
+            }
+            for (from, born, id, customer, units, [granted, open, done]) in &known.words {
+                let grant =
+                    Grant { customer: *customer, units: *units, granted: *granted, open: *open, done: *done };
+                let _ = self.grants.insert(now, (*from, *born, *id), grant);
+            }
+            self.lent =
+                known.lent.iter().map(|(ago, customer, units)| (at(*ago), *customer, *units)).collect();
+            self.opened = known.out.iter().map(|(ago, key)| (at(*ago), *key)).collect();
+            let [evens, stores, ceilings] = &known.owed;
+            self.owed.evens.take_over(now, evens);
+            self.owed.stores.take_over(now, stores);
+            self.owed.ceilings.take_over(now, ceilings);
+        }
+        for (id, c) in &known.customers {
+            let customer = Customer {
+                even: Store { level: c.even.0, at: at(c.even.1) },
+                room: c.room,
+                told_at: at(c.told.1),
+                told: c.told.0,
+                unasked: c.unasked,
+                spread: c.spread,
+                plan: c.plan,
+                known: c.known,
+            };
+            let _ = self.customers.insert(now, *id, customer);
+        }
+        for (id, h) in &known.servers {
+            let Some(s) = self.servers.get_mut(id.as_str()) else { continue };
+            (s.latency, s.errors, s.silences) = (h.latency, h.errors, h.silences);
+            (s.aside_until, s.aside_for) = (now + h.aside.0, h.aside.1);
+            (s.full_until, s.last_answer) = (now + h.full, at(h.answered));
+            s.heard = fading(h.heard, now);
+            // The roster may tell of a later start; that one's part then holds nothing yet.
+            if let (Some((ago, (level, level_ago))), Some(from)) = (h.cold, s.cold_from) {
+                if at(ago) + 1.0 >= from {
+                    s.cold = Store { level, at: at(level_ago) };
+                }
+            }
+        }
+        let f = &known.feedback;
+        [self.limit, self.big] = f.limit;
+        [self.own, self.latency, self.full] = f.means.map(|m| mean(m, now));
+        [self.done, self.aims, self.hold_rate, self.admit_rate, self.ghosts, self.wanted] =
+            f.rates.map(|r| fading(r, now));
+        [self.usual, self.pace, self.fleet, self.wait_ms, self.retries] = f.figures;
+        self.units = f.units.iter().copied().collect();
+    }
+}
+
+fn health(s: &Server, now: Millis) -> Health {
+    Health {
+        latency: s.latency,
+        errors: s.errors,
+        silences: s.silences,
+        aside: ((s.aside_until - now).max(0.0), s.aside_for),
+        full: (s.full_until - now).max(0.0),
+        answered: now - s.last_answer,
+        cold: s.cold_from.map(|from| (now - from, (s.cold.level, now - s.cold.at))),
+        heard: faded(&s.heard, now),
+    }
+}
+
+fn member(c: &Customer, now: Millis) -> Member {
+    Member {
+        even: (c.even.level, now - c.even.at),
+        room: c.room,
+        told: (c.told, now - c.told_at),
+        unasked: c.unasked,
+        spread: c.spread,
+        plan: c.plan,
+        known: c.known,
+    }
+}
+
+fn kept(a: &Account, now: Millis) -> Kept {
+    Kept {
+        ago: now - a.at,
+        levels: [a.store, a.ceiling, a.lent],
+        rates: [a.demand, a.let_in],
+        open: a.open,
+        plan: a.plan,
+        rank: a.rank,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod accounts;
 mod firms;
 pub mod interface;
+pub mod knowledge;
 mod legal;
 mod message;
 pub mod planted;
--- a/src/state.rs
+++ b/src/state.rs
@@ -231,7 +231,7 @@
 }
 
 /// Until when forgotten customers owe, by customer and plan.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Owed {
     pub evens: Debts,
     pub stores: Debts,
