One wrapper tells when a body's last byte was taken, for both directions

Change: payload::Watched round any body; Outgoing is a plain body; take_in makes its own Held. Behaviour and assertions unchanged.

--- a/crates/bodies/src/lib.rs
+++ b/crates/bodies/src/lib.rs
@@ -73,7 +73,7 @@
     blocks: Vec<Bytes>,
     open: BytesMut,
     length: usize,
-    /// What is still to come, where it was told.
+    /// How long it is in all, where that was told.
     told: Option<usize>,
 }
 
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -5,21 +5,19 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Context;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fawnhill::RequestId;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use marldeal_bodies::Held;
 use marldeal_engine::ledger::End;
 use marldeal_lifecycle::worth::{self, Doing, Standing};
 use marldeal_lifecycle::{Command, Lifecycle, Phase};
@@ -29,7 +27,7 @@
 
 use crate::driver::{Answer, Content, Driver};
 use crate::head::{self, Layout};
-use crate::payload::{self, Payload, Refused, Reply, STILL};
+use crate::payload::{self, Payload, Progress, Refused, Reply, Watched, STILL};
 use crate::tapped::{Tap, Tapped};
 use crate::upgrade::{Heir, Passed};
 
@@ -134,30 +132,9 @@
     }
 }
 
-/// An answer's body, that tells when its last byte has been taken.
-struct Answered {
-    body: Reply,
-    client: Rc<Client>,
-}
-
-impl Body for Answered {
-    type Data = Bytes;
-    type Error = io::Error;
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if self.body.is_end_stream() {
-            self.client.taken.set(true);
-        }
-        frame
-    }
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+impl Progress for Client {
+    fn taken(&self) {
+        self.taken.set(true);
     }
 }
 
@@ -375,21 +352,19 @@
             client.busy.set(false);
             client.reading.set(false);
             client.used.set(Instant::now());
-            client.taken.set(answer.body().is_end_stream());
-            Ok::<_, Infallible>(answer.map(|body| Answered { body, client: client.clone() }))
+            Ok::<_, Infallible>(answer.map(|body| Watched::new(body, client)))
         }
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .max_buf_size(MOST_HEAD)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(Tapped { stream, tap: client.clone(), read }), service);
-    let mut serving = serving;
     let mut closing = false;
     loop {
         tokio::select! {
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
-            _ = Pin::new(&mut serving) => return,
+            _ = &mut serving => return,
             () = client.pass.notified() => if !client.answering.get() && !client.busy.get() {
                 let parts = serving.into_parts();
                 let begun = client.begun.get().map(|at| at.elapsed());
@@ -408,7 +383,7 @@
             }
             () = client.close.notified(), if !closing => {
                 closing = true;
-                Pin::new(&mut serving).graceful_shutdown();
+                std::pin::Pin::new(&mut serving).graceful_shutdown();
             }
         }
     }
@@ -449,8 +424,7 @@
             return bad(status, why);
         }
     };
-    let told = body.size_hint().exact().and_then(|told| usize::try_from(told).ok());
-    let taken = payload::take_in(body, Held::new(&driver.bodies, told)).await;
+    let taken = payload::take_in(body, &driver.bodies).await;
     client.reading.set(false);
     let body = match taken {
         Ok(body) => body,
--- a/marldeal/src/payload.rs
+++ b/marldeal/src/payload.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use marldeal_bodies::{Held, Pace};
+use marldeal_bodies::{Budget, Held, Pace};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, Sleep};
 
@@ -135,93 +135,109 @@
     }
 }
 
-/// How far a request on a connection to a server has gone.
+/// How far a message on a connection has gone.
 pub trait Progress {
     /// The connection has taken its last byte in.
     fn taken(&self);
 }
 
-/// A request's body on its way to a server.
-pub struct Outgoing<P> {
-    source: Source,
+/// A body that tells its progress when its last byte has been taken.
+pub struct Watched<B, P> {
+    body: B,
     progress: Rc<P>,
 }
 
-enum Source {
-    Held { blocks: std::vec::IntoIter<Bytes>, left: u64 },
-    Piped { pipe: Rc<Pipe>, late: Pin<Box<Sleep>> },
+impl<B: Body, P: Progress> Watched<B, P> {
+    /// Of a body; an empty one has been taken from the start, for the connection never asks it.
+    pub fn new(body: B, progress: Rc<P>) -> Watched<B, P> {
+        if body.is_end_stream() {
+            progress.taken();
+        }
+        Watched { body, progress }
+    }
+}
+
+impl<B: Body + Unpin, P: Progress> Body for Watched<B, P> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.progress.taken();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A request's body on its way to a server.
+pub enum Outgoing {
+    /// Of a held payload: blocks, and bytes that are left.
+    Held(std::vec::IntoIter<Bytes>, u64),
+    /// Of a piped one, and when its sender is late.
+    Piped(Rc<Pipe>, Pin<Box<Sleep>>),
 }
 
-impl<P: Progress> Outgoing<P> {
-    /// Of a payload; tells its progress when its last byte has been taken.
-    pub fn new(payload: &Payload, progress: Rc<P>) -> Outgoing<P> {
-        let source = match payload {
+impl Outgoing {
+    /// Of a payload.
+    pub fn new(payload: &Payload) -> Outgoing {
+        match payload {
             Payload::Held { blocks, length, .. } => {
-                Source::Held { blocks: blocks.clone().into_iter(), left: *length as u64 }
+                Outgoing::Held(blocks.clone().into_iter(), *length as u64)
             }
             Payload::Piped(pipe) => {
-                Source::Piped { pipe: pipe.clone(), late: Box::pin(tokio::time::sleep_until(pipe.until())) }
+                Outgoing::Piped(pipe.clone(), Box::pin(tokio::time::sleep_until(pipe.until())))
             }
-        };
-        Outgoing { source, progress }
+        }
     }
 }
 
-impl<P: Progress> Body for Outgoing<P> {
+impl Body for Outgoing {
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let Outgoing { source, progress } = &mut *self;
-        match source {
-            Source::Held { blocks, left } => {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match &mut *self {
+            Outgoing::Held(blocks, left) => {
                 let block = blocks.next();
                 *left -= block.as_ref().map_or(0, |b| b.len() as u64);
-                if *left == 0 {
-                    progress.taken();
-                }
                 Poll::Ready(block.map(|b| Ok(Frame::data(b))))
             }
-            Source::Piped { pipe, late } => match pipe.poll_piece(cx) {
-                Poll::Ready(Some(Ok(piece))) => {
-                    if pipe.ended.get() && pipe.first.borrow().0.is_empty() {
-                        progress.taken();
-                    }
+            Outgoing::Piped(pipe, late) => match pipe.poll_piece(cx) {
+                Poll::Ready(piece) => {
                     late.as_mut().reset(pipe.until());
-                    Poll::Ready(Some(Ok(Frame::data(piece))))
+                    Poll::Ready(piece.map(|p| p.map(Frame::data)))
                 }
-                Poll::Ready(None) => {
-                    progress.taken();
-                    Poll::Ready(None)
-                }
-                Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(e))),
-                Poll::Pending => match late.as_mut().poll(cx) {
-                    Poll::Ready(()) => Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into()))),
-                    Poll::Pending => Poll::Pending,
-                },
+                Poll::Pending => late.as_mut().poll(cx).map(|()| Some(Err(io::ErrorKind::TimedOut.into()))),
             },
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.source {
-            Source::Held { left, .. } => *left == 0,
-            Source::Piped { pipe, .. } => pipe.ended.get() && pipe.first.borrow().0.is_empty(),
+        match self {
+            Outgoing::Held(_, left) => *left == 0,
+            Outgoing::Piped(pipe, _) => pipe.ended.get() && pipe.first.borrow().0.is_empty(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.source {
-            Source::Held { left, .. } => SizeHint::with_exact(*left),
-            Source::Piped { pipe, .. } => match pipe.told {
-                // As the connection has not taken any of it yet when it asks.
-                Some(told) => SizeHint::with_exact(told),
-                None => SizeHint::default(),
-            },
-        }
+        let left = match self {
+            Outgoing::Held(_, left) => Some(*left),
+            // As the connection has not taken any of it yet when it asks.
+            Outgoing::Piped(pipe, _) => pipe.told,
+        };
+        left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
@@ -254,10 +270,7 @@
     type Data = Bytes;
     type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut *self {
             Reply::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Reply::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
@@ -297,9 +310,10 @@
 ///
 /// # Errors
 /// It did not come, or not at the pace that is asked for.
-pub async fn take_in(mut body: Incoming, mut held: Held) -> Result<Payload, Refused> {
+pub async fn take_in(mut body: Incoming, budget: &Rc<Budget>) -> Result<Payload, Refused> {
     let began = Instant::now();
     let told = body.size_hint().exact();
+    let mut held = Held::new(budget, told.and_then(|told| usize::try_from(told).ok()));
     if body.is_end_stream() {
         return Ok(Payload::held(held));
     }
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/servers.rs
@@ -24,7 +24,7 @@
 use crate::config::Config;
 use crate::driver::{Driver, Job, Upstream};
 use crate::head::{CORRELATION, KEY, TIME_LEFT};
-use crate::payload::{Outgoing, Payload, Piece, Progress, MOST_WHOLE, STILL};
+use crate::payload::{Outgoing, Piece, Progress, Watched, MOST_WHOLE, STILL};
 use crate::tapped::{Tap, Tapped};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
@@ -53,9 +53,9 @@
 }
 
 impl Writing {
-    fn begin(&self, job: &Job, empty: bool) {
+    fn begin(&self, job: &Job) {
         self.what.set(Some((job.id, job.attempt)));
-        self.taken.set(empty);
+        self.taken.set(false);
         self.wrote.set(false);
     }
 }
@@ -81,7 +81,7 @@
     }
 }
 
-type Sent = Outgoing<Writing>;
+type Sent = Watched<Outgoing, Writing>;
 type Wire = TokioIo<Tapped<Rc<Writing>>>;
 
 /// A connection and what drives it. Nothing else does: dropping it closes the socket.
@@ -245,8 +245,8 @@
         return (Outcome::NotSent, None);
     }
     let left_ms = (job.end - driver.now()).min(job.content.budget_ms);
+    link.writing.begin(job);
     let Ok(request) = request(job, addr, left_ms, &link.writing) else { return (Outcome::NotSent, None) };
-    link.writing.begin(job, matches!(job.content.body, Payload::Held { length: 0, .. }));
     let Link { sender, connection, writing, .. } = &mut link;
     let answer = async {
         let answer = match sender.try_send_request(request).await {
@@ -380,5 +380,5 @@
     if let Some(key) = &content.key {
         request = request.header(KEY, key.clone());
     }
-    request.body(Outgoing::new(&content.body, writing.clone()))
+    request.body(Watched::new(Outgoing::new(&content.body), writing.clone()))
 }
