Derived state goes from clients.rs; the figures' lines stand with their protocol

Need: whether a connection leaves followed from the heir, an open request is always being answered, the phase was asked for twice a turn; the driver (over 700 lines) wrote the operators' lines; two calls for a client that is gone did the same. Change: these are derived, asked once, or shared; management/line.rs writes the figures. Behaviour and assertions unchanged.

--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -19,7 +19,7 @@
 }
 
 /// The ledger: every request that is taken ends in exactly one count.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Ledger {
     classes: Vec<Class>,
     forwards: u64,
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -54,7 +54,7 @@
 
 /// One client connection, as the others see it.
 struct Client {
-    /// A request of it is being taken in or answered.
+    /// A request of it has come and has no answer yet.
     busy: Cell<bool>,
     /// The body of that is still to come.
     reading: Cell<bool>,
@@ -66,13 +66,13 @@
     /// Its next request is taken up then.
     rest: Cell<Option<Instant>>,
     layout: Rc<Layout>,
-    /// The last byte of an answer is still to be taken by the connection, or to be written.
+    /// The same, or the last byte of its answer is still to be taken by the connection, or to be written.
     answering: Cell<bool>,
     taken: Cell<bool>,
-    /// To another process, between requests.
+    /// Where it goes once another process has taken this one's place, and when to look.
+    heir: Rc<Heir>,
     pass: Notify,
-    leaves: Cell<bool>,
-    /// It has been told to go.
+    /// It has been told to make way.
     leaving: Cell<bool>,
     /// Close between requests.
     close: Notify,
@@ -81,7 +81,7 @@
 }
 
 impl Client {
-    fn new(layout: Rc<Layout>) -> Client {
+    fn new(layout: Rc<Layout>, heir: Rc<Heir>) -> Client {
         let now = Instant::now();
         Client {
             busy: Cell::new(false),
@@ -93,8 +93,8 @@
             layout,
             answering: Cell::new(false),
             taken: Cell::new(true),
+            heir,
             pass: Notify::new(),
-            leaves: Cell::new(false),
             leaving: Cell::new(false),
             close: Notify::new(),
             cut: Notify::new(),
@@ -125,7 +125,7 @@
     fn flushed(&mut self) {
         if self.taken.get() {
             self.answering.set(false);
-            if self.leaves.get() {
+            if self.heir.is_there() {
                 self.pass.notify_one();
             }
         }
@@ -175,18 +175,13 @@
 
     /// Sends those on which nothing is owed to another process, and the others once they have their answer.
     fn pass_on(&self) {
-        for client in self.all.borrow().values() {
-            client.leaves.set(true);
-            if !client.answering.get() {
-                client.pass.notify_one();
-            }
-        }
+        self.all.borrow().values().filter(|c| !c.answering.get()).for_each(|c| c.pass.notify_one());
     }
 
     /// Whether an answer is owed or on its way. Connections that have not asked are not waited for: bad clients
     /// open new ones without end, and a limiter that lingers for them is missed.
     fn owe(&self) -> bool {
-        self.all.borrow().values().any(|c| c.busy.get() || c.answering.get() || c.begun.get().is_none())
+        self.all.borrow().values().any(|c| c.answering.get() || c.begun.get().is_none())
     }
 
     /// Cuts the connection that is worth least. Guards against crowds that hold connections, or send a request's half, in
@@ -195,7 +190,7 @@
         let all = self.all.borrow();
         let standing = all.values().map(|c| Standing {
             doing: match () {
-                () if c.busy.get() || c.answering.get() || c.leaving.get() => Doing::Open,
+                () if c.answering.get() || c.leaving.get() => Doing::Open,
                 () if c.begun.get().is_some() => Doing::Half,
                 () => Doing::Idle,
             },
@@ -233,24 +228,23 @@
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
     loop {
-        let accepts = driver.life(Lifecycle::accepts);
+        let (phase, accepts) = (driver.phase(), driver.life(Lifecycle::accepts));
         let over = clients.all.borrow().len() as isize - driver.room(driver.config.most_clients) as isize;
         if over >= 0 && accepts {
             clients.evict();
         }
         // What waits to be accepted is not held up by those that are on their way out.
         let room = over < SPARE as isize;
-        let tick = over >= 0 || !matches!(driver.phase(), Phase::Warming | Phase::Starting | Phase::Serving);
-        let phase = driver.phase();
+        let tick = over >= 0 || !matches!(phase, Phase::Warming | Phase::Starting | Phase::Serving);
+        let closes = driver.life(Lifecycle::closes_idle);
         // One that stops lets those who come too late wait until it ends: a refusal now would tell them no more.
-        if phase == Phase::HandingOver || (phase == Phase::Stopping && driver.life(Lifecycle::closes_idle)) {
+        if phase == Phase::HandingOver || (phase == Phase::Stopping && closes) {
             listener = None;
         }
         if phase == Phase::HandingOver && clients.heir.is_there() {
             clients.pass_on();
         }
-        let closes = driver.life(Lifecycle::closes_idle);
-        if closes && !std::mem::replace(&mut closing, closes) {
+        if closes && !closing {
             clients.all.borrow().values().for_each(|c| c.close.notify_one());
         }
         closing = closes;
@@ -311,7 +305,7 @@
     before: Option<(Option<Duration>, Bytes)>,
 ) {
     let _ = stream.set_nodelay(true);
-    let client = Rc::new(Client::new(clients.layout.clone()));
+    let client = Rc::new(Client::new(clients.layout.clone(), clients.heir.clone()));
     let mut read = Bytes::new();
     if let Some((begun, bytes)) = before {
         client.begun.set(begun.map(|waited| Instant::now().checked_sub(waited).unwrap_or_else(Instant::now)));
@@ -365,7 +359,7 @@
             biased;
             // An error here is the client's: it left, or sent what is no HTTP.
             _ = &mut serving => return,
-            () = client.pass.notified() => if !client.answering.get() && !client.busy.get() {
+            () = client.pass.notified() => if !client.answering.get() {
                 let parts = serving.into_parts();
                 let begun = client.begun.get().map(|at| at.elapsed());
                 let Ok(stream) = parts.io.into_inner().stream.into_std() else { return };
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -2,8 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::fmt::Write as _;
-use std::io::Write as _;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,7 +12,7 @@
 use fawnhill::{Condition, Effect, Outcome, Request, RequestId, ServerId};
 use hyper::header::HeaderValue;
 use marldeal_bodies::Budget;
-use marldeal_engine::ledger::{End, Ledger};
+use marldeal_engine::ledger::Ledger;
 use marldeal_engine::{Engine, Input, Output};
 use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
 use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
@@ -159,9 +158,24 @@
 
 /// How often the configuration was read again, with what result.
 #[derive(Debug, Clone, Copy, Default)]
-struct Reloads {
-    applied: u64,
-    rejected: u64,
+pub struct Reloads {
+    /// It took effect, or told nothing new.
+    pub applied: u64,
+    /// It had a mistake, and nothing changed.
+    pub rejected: u64,
+}
+
+/// What operators are told.
+#[derive(Debug, Clone)]
+pub struct Figures {
+    /// Requests and attempts.
+    pub ledger: Ledger,
+    /// Servers in the list.
+    pub discovered: usize,
+    /// Of these, those that the module avoids now.
+    pub ejected: usize,
+    /// Reloads.
+    pub reloads: Reloads,
 }
 
 /// The engine with all that surrounds it; one thread, so that nothing is locked.
@@ -375,30 +389,15 @@
         said
     }
 
-    /// The operators' figures, a line each.
-    pub fn figures(&self) -> String {
+    /// What has been counted, and how things stand.
+    pub fn figures(&self) -> Figures {
         let state = self.state.borrow();
-        let ledger = state.engine.ledger();
-        let mut text = String::new();
-        let ends = [("succeeded", End::Succeeded), ("declined", End::Declined), ("aborted", End::Aborted)];
-        for (what, end) in ends {
-            for (class, name) in self.config.classes.iter().enumerate() {
-                let _ = writeln!(text, "{what}.{name}={}", ledger.ends(class, end));
-            }
-        }
-        let reloads = self.reloads.get();
-        let rest = [
-            ("forwards", ledger.forwards()),
-            ("outstanding", ledger.outstanding()),
-            ("discovered", state.addresses.len() as u64),
-            ("ejected", state.engine.avoided(self.now()) as u64),
-            ("sighup_applied", reloads.applied),
-            ("sighup_rejected", reloads.rejected),
-        ];
-        for (name, figure) in rest {
-            let _ = writeln!(text, "{name}={figure}");
+        Figures {
+            ledger: state.engine.ledger().clone(),
+            discovered: state.addresses.len(),
+            ejected: state.engine.avoided(self.now()),
+            reloads: self.reloads.get(),
         }
-        text
     }
 
     /// Counts something that happens outside the engine.
@@ -560,9 +559,10 @@
     /// The client has gone before its answer.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.direct.remove(&id).is_some() {
-            self.input(&mut state, Input::Gone { id });
-            self.perform(&mut state, None);
+        let waited = state.direct.remove(&id).is_some();
+        drop(state);
+        if waited {
+            self.reader_gone(id);
         }
     }
 
--- a/marldeal/src/management/line.rs
+++ b/marldeal/src/management/line.rs
@@ -1,5 +1,11 @@
 //! The line protocol of the operators' listener: one call to a connection, without I/O.
 
+use std::fmt::Write;
+
+use marldeal_engine::ledger::End;
+
+use crate::driver::Figures;
+
 /// What may be called.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Call {
@@ -52,6 +58,29 @@
     }
 }
 
+/// All figures, a line each, for classes of these names.
+pub fn figures(names: &[String], figures: &Figures) -> String {
+    let mut text = String::new();
+    for (what, end) in [("succeeded", End::Succeeded), ("declined", End::Declined), ("aborted", End::Aborted)]
+    {
+        for (class, name) in names.iter().enumerate() {
+            let _ = writeln!(text, "{what}.{name}={}", figures.ledger.ends(class, end));
+        }
+    }
+    let rest = [
+        ("forwards", figures.ledger.forwards()),
+        ("outstanding", figures.ledger.outstanding()),
+        ("discovered", figures.discovered as u64),
+        ("ejected", figures.ejected as u64),
+        ("sighup_applied", figures.reloads.applied),
+        ("sighup_rejected", figures.reloads.rejected),
+    ];
+    for (name, figure) in rest {
+        let _ = writeln!(text, "{name}={figure}");
+    }
+    text
+}
+
 /// The answer to a call that went well: one line, or the figures and a last line.
 pub fn success(said: &str, figures: Option<&str>) -> String {
     match figures {
--- a/marldeal/src/management/mod.rs
+++ b/marldeal/src/management/mod.rs
@@ -92,7 +92,9 @@
     match call {
         Call::Status if driver.able() => line::success(&driver.phase().to_string(), None),
         Call::Status => line::failure("no server takes work yet, or the ceilings are still filling"),
-        Call::Stats => line::success("figures", Some(&driver.figures())),
+        Call::Stats => {
+            line::success("figures", Some(&line::figures(&driver.config.classes, &driver.figures())))
+        }
         Call::Standby => told(driver.command(Command::Standby)),
         Call::Active => told(driver.command(Command::Active)),
     }
