Tests: one process under test and one node that holds, for all suites

Change: stubs::Process and stubs::held; the environment's management and accept variables are taken off too. Assertions unchanged.

--- a/marldeal/tests/management.rs
+++ b/marldeal/tests/management.rs
@@ -4,11 +4,10 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use stubs::{ask, exchange, get, line, post, read_answer, ready, wait_for, write_ok, Node, Stub};
+use stubs::{ask, exchange, get, held, line, post, read_answer, ready, wait_for, write_ok, Node, Stub};
 
 /// Every request ends in one count, the counts are what the clients saw, and attempts are those that nodes saw.
 #[test]
@@ -115,14 +114,7 @@
 /// What was asked before the standby is answered, however long that takes.
 #[test]
 fn standby_loses_no_request() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let server = Stub::new(move |seen, stream| {
-        if seen.body == "slow" {
-            wait_for("release", || held.load(Ordering::SeqCst));
-        }
-        write_ok(stream, "done")
-    });
+    let (server, release) = held();
     let node = Node::managed(&[("s-1", &server, "active")], |c| c);
     let mut slow = TcpStream::connect(node.addr).expect("connect");
     slow.write_all(post("book", "k", "", "slow").as_bytes()).expect("write");
@@ -139,15 +131,10 @@
 /// A process that ends says so and takes no command back.
 #[test]
 fn standby_then_sigterm_ends_and_an_end_is_not_called_off() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let server = Stub::new(move |_, stream| {
-        wait_for("release", || held.load(Ordering::SeqCst));
-        write_ok(stream, "done")
-    });
+    let (server, release) = held();
     let mut node = Node::managed(&[("s-1", &server, "active")], |c| c);
     let mut slow = TcpStream::connect(node.addr).expect("connect");
-    slow.write_all(post("book", "k", "", "x").as_bytes()).expect("write");
+    slow.write_all(post("book", "k", "", "slow").as_bytes()).expect("write");
     wait_for("the request to arrive", || server.seen().len() == 1);
     node.operator(b"standby\n");
     node.signal("TERM");
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 pub use marldeal_standin::discovery::{line, Discovery};
@@ -26,8 +26,7 @@
 pub struct Node {
     pub addr: SocketAddr,
     pub discovery: Discovery,
-    child: Child,
-    log: Arc<Mutex<String>>,
+    process: Process,
     config: PathBuf,
     extensions: Option<PathBuf>,
 }
@@ -48,25 +47,91 @@
     let mut command = Command::new("sh");
     command.args(["-c", "ulimit -n \"$1\"; shift; exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_marldeal")]);
     command.arg(descriptors.to_string());
-    for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+    for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_MGMT", "ROUTER_ACCEPT_FD"] {
         command.env_remove(name);
     }
-    command.env("ROUTER_CONFIG", config).stderr(Stdio::piped());
+    command.env("ROUTER_CONFIG", config);
     command
 }
 
-/// Starts the program and keeps what it says.
-pub fn spawn(command: &mut Command) -> (Child, Arc<Mutex<String>>) {
-    let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
-    let stderr = BufReader::new(child.stderr.take().expect("piped"));
-    let log = Arc::new(Mutex::new(String::new()));
-    let all = log.clone();
-    std::thread::spawn(move || {
-        for text in stderr.lines().map_while(Result::ok) {
-            all.lock().expect("lock").push_str(&format!("{text}\n"));
+/// A process of the program, and what it says.
+pub struct Process {
+    child: Child,
+    log: Arc<Mutex<String>>,
+}
+
+impl Process {
+    pub fn start(command: &mut Command) -> Process {
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        let log = Arc::new(Mutex::new(String::new()));
+        let all = log.clone();
+        std::thread::spawn(move || {
+            for text in stderr.lines().map_while(Result::ok) {
+                all.lock().expect("lock").push_str(&format!("{text}\n"));
+            }
+        });
+        Process { child, log }
+    }
+
+    pub fn log(&self) -> String {
+        self.log.lock().expect("lock").clone()
+    }
+    pub fn wait_log(&self, text: &str) {
+        wait_for(text, || self.log().contains(text));
+    }
+    /// An address that it says it listens on.
+    pub fn listens(&self, what: &str) -> SocketAddr {
+        let log = self.log();
+        let at = log.lines().find_map(|l| l.split_once(what));
+        at.and_then(|(_, a)| a.trim().parse().ok()).unwrap_or_else(|| panic!("no '{what}' in {log}"))
+    }
+    /// The answer to bytes of an operator.
+    pub fn operator(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.listens("management on ")).expect("connect");
+        stream.set_read_timeout(Some(marldeal_standin::PATIENCE)).expect("time-out");
+        stream.write_all(bytes).expect("write");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and its end");
+        answer
+    }
+    /// One of the figures.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = self.operator(b"stats\n");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
+        line.and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+    }
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().expect("kill").success());
+    }
+    pub fn exit_code(&mut self) -> Option<i32> {
+        wait_for("the exit", || self.child.try_wait().expect("a child").is_some());
+        self.child.wait().expect("a child").code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            eprintln!("log:\n{}", self.log());
+        }
+    }
+}
+
+/// A node that holds requests with the body `slow` until it is let go.
+pub fn held() -> (Stub, Arc<AtomicBool>) {
+    let release = Arc::new(AtomicBool::new(false));
+    let held = release.clone();
+    let server = Stub::new(move |seen, stream| {
+        if seen.body == "slow" {
+            wait_for("release", || held.load(Ordering::SeqCst));
         }
+        write_ok(stream, "done")
     });
-    (child, log)
+    (server, release)
 }
 
 /// The configuration that all tests begin with.
@@ -101,9 +166,7 @@
 
     /// Where the external processor listens.
     pub fn processor(&self) -> SocketAddr {
-        let log = self.log.lock().expect("lock");
-        let at = log.lines().find_map(|l| l.split_once("external processor on "));
-        at.and_then(|(_, a)| a.trim().parse().ok()).expect("an external processor")
+        self.process.listens("external processor on ")
     }
 
     /// Starts with an altered configuration and a management address.
@@ -114,26 +177,7 @@
 
     /// Where operators call.
     pub fn management(&self) -> SocketAddr {
-        let log = self.log.lock().expect("lock");
-        let at = log.lines().find_map(|l| l.split_once("management on "));
-        at.and_then(|(_, a)| a.trim().parse().ok()).expect("a management address")
-    }
-
-    /// The answer to bytes of an operator.
-    pub fn operator(&self, bytes: &[u8]) -> String {
-        let mut stream = TcpStream::connect(self.management()).expect("connect");
-        stream.set_read_timeout(Some(marldeal_standin::PATIENCE)).expect("time-out");
-        stream.write_all(bytes).expect("write");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer and its end");
-        answer
-    }
-
-    /// One of the figures.
-    pub fn figure(&self, name: &str) -> u64 {
-        let text = self.operator(b"stats\n");
-        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
-        line.and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
+        self.process.listens("management on ")
     }
 
     /// Waits until the program is ready, if it has servers.
@@ -153,15 +197,10 @@
         if let Some(path) = &extensions {
             command.arg("--extensions").arg(path);
         }
-        let (child, log) = spawn(command.env("ROUTER_DISCOVERY", told));
-        let mut addr = None;
-        wait_for("the program to listen", || {
-            let text = log.lock().expect("lock");
-            let at = text.lines().find_map(|l| l.split_once("serves on "));
-            addr = at.and_then(|(_, a)| a.trim().parse().ok());
-            addr.is_some()
-        });
-        let node = Node { addr: addr.expect("an address"), discovery, child, log, config, extensions };
+        let process = Process::start(command.env("ROUTER_DISCOVERY", told));
+        process.wait_log("serves on ");
+        let addr = process.listens("serves on ");
+        let node = Node { addr, discovery, process, config, extensions };
         wait_for("the watch", || !node.discovery.watches().is_empty());
         if !servers.is_empty() {
             wait_for("readiness", || ready(&node) == 200);
@@ -181,34 +220,27 @@
     pub fn reload(&self, alter: impl Fn(String) -> String) {
         let text = std::fs::read_to_string(&self.config).expect("the configuration is there");
         std::fs::write(&self.config, alter(text)).expect("the configuration is written");
-        self.signal("HUP");
+        self.process.signal("HUP");
     }
+}
 
-    pub fn log(&self) -> String {
-        self.log.lock().expect("lock").clone()
-    }
-    pub fn wait_log(&self, text: &str) {
-        wait_for(text, || self.log.lock().expect("lock").contains(text));
-    }
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().expect("kill").success());
+impl std::ops::Deref for Node {
+    type Target = Process;
+    fn deref(&self) -> &Process {
+        &self.process
     }
-    pub fn exit_code(&mut self) -> Option<i32> {
-        wait_for("the exit", || self.child.try_wait().expect("a child").is_some());
-        self.child.wait().expect("a child").code()
+}
+
+impl std::ops::DerefMut for Node {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
     }
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
         self.extensions.iter().for_each(|path| drop(std::fs::remove_file(path)));
-        if std::thread::panicking() {
-            eprintln!("log:\n{}", self.log.lock().map(|l| l.clone()).unwrap_or_default());
-        }
     }
 }
 
--- a/marldeal/tests/upgrade.rs
+++ b/marldeal/tests/upgrade.rs
@@ -7,16 +7,16 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Instant;
 
 use command_fds::{CommandFdExt, FdMapping};
 use marldeal::upgrade::frame::{Frame, VERSION};
 use marldeal_standin::discovery::{line, Discovery};
 use marldeal_standin::PATIENCE;
-use stubs::{config, exchange, get, post, read_answer, spawn, wait_for, write_ok, Stub};
+use stubs::{config, exchange, get, held, post, read_answer, wait_for, write_ok, Process, Stub};
 
 /// What the platform holds: the listening socket, the directory that is left, discovery.
 struct Place {
@@ -61,12 +61,8 @@
             .env("ROUTER_ACCEPT_FD", "3")
             .fd_mappings(vec![FdMapping { parent_fd: fd, child_fd: 3 }])
             .expect("one descriptor");
-        let (child, log) = spawn(&mut command);
-        let mut process = Process { child, log, management: self.addr };
+        let process = Process::start(&mut command);
         process.wait_log("serves on ");
-        let text = process.log();
-        let at = text.lines().find_map(|l| l.split_once("management on ")).expect("a management address");
-        process.management = at.1.trim().parse().expect("an address");
         process
     }
 
@@ -92,53 +88,8 @@
     }
 }
 
-struct Process {
-    child: Child,
-    log: Arc<Mutex<String>>,
-    management: SocketAddr,
-}
-
-impl Process {
-    fn log(&self) -> String {
-        self.log.lock().expect("lock").clone()
-    }
-    fn wait_log(&self, text: &str) {
-        wait_for(text, || self.log().contains(text));
-    }
-    fn call(&self, call: &str) -> String {
-        let mut stream = TcpStream::connect(self.management).expect("connect");
-        stream.set_read_timeout(Some(PATIENCE)).expect("time-out");
-        writeln!(stream, "{call}").expect("write");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
-    }
-    fn wait_yes(&self) {
-        wait_for("a yes", || self.call("status").starts_with("SUCCESS"));
-    }
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().expect("kill").success());
-    }
-    fn exit_code(&mut self) -> Option<i32> {
-        wait_for("the exit", || self.child.try_wait().expect("a child").is_some());
-        self.child.wait().expect("a child").code()
-    }
-    fn figure(&self, name: &str) -> u64 {
-        let text = self.call("stats");
-        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix('='));
-        line.and_then(|n| n.parse().ok()).unwrap_or_else(|| panic!("no {name} in {text}"))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if std::thread::panicking() {
-            eprintln!("log:\n{}", self.log());
-        }
-    }
+fn wait_yes(process: &Process) {
+    wait_for("a yes", || process.operator(b"status\n").starts_with("SUCCESS"));
 }
 
 fn fine() -> Stub {
@@ -165,7 +116,7 @@
 
 fn warming(place: &Place) -> (Process, Process) {
     let old = place.start();
-    old.wait_yes();
+    wait_yes(&old);
     let new = place.start();
     new.wait_log("warming up beside a predecessor");
     (old, new)
@@ -196,7 +147,7 @@
     let mut kept: Vec<_> = (0..20).map(|_| place.connect()).collect();
     kept.iter_mut().for_each(|stream| assert_eq!(exchange(stream, &get("look", "")).status, 200));
     let silent = place.connect();
-    new.wait_yes();
+    wait_yes(&new);
     old.signal("TERM");
     assert_eq!(old.exit_code(), Some(0));
     new.wait_log("the predecessor has gone");
@@ -207,20 +158,13 @@
     drop(silent);
     let seen = server.seen();
     assert_eq!(seen.len(), served + 40, "each ran once");
-    assert_eq!(new.call("status"), "SUCCESS serving\n");
+    assert_eq!(new.operator(b"status\n"), "SUCCESS serving\n");
 }
 
 /// A firm that has used all it may gets nothing more from the new process, and what the old one has taken it finishes.
 #[test]
 fn no_allowance_is_there_twice_and_what_was_taken_is_finished() {
-    let release = Arc::new(AtomicBool::new(false));
-    let held = release.clone();
-    let server = Stub::new(move |seen, stream| {
-        if seen.body == "slow" {
-            wait_for("release", || held.load(Ordering::SeqCst));
-        }
-        write_ok(stream, "done")
-    });
+    let (server, release) = held();
     let place = Place::new(&[("s-1", &server, "active")]).alter(quota);
     let (mut old, new) = warming(&place);
     let began = Instant::now();
@@ -229,7 +173,7 @@
     wait_for("the slow one", || server.seen().len() == 1);
     let before = ask_ten(&mut place.connect());
     assert!(before >= 2, "the slow one has one unit, two are left: {before}");
-    new.wait_yes();
+    wait_yes(&new);
     old.signal("TERM");
     new.wait_log("goes on as the same limiter");
     let after = ask_ten(&mut place.connect());
@@ -252,7 +196,7 @@
     half.write_all(&request.as_bytes()[..60]).expect("write");
     // Another one's answer shows that the loop has come by.
     assert_eq!(place.ask(&get("look", "").replace("c-1", "c-2")).status, 200);
-    new.wait_yes();
+    wait_yes(&new);
     old.signal("TERM");
     assert_eq!(old.exit_code(), Some(0));
     half.write_all(&request.as_bytes()[60..]).expect("write");
@@ -266,14 +210,14 @@
     let place = Place::new(&[("s-1", &server, "active")]).alter(quota);
     let mut kept = place.connect();
     let mut old = place.start();
-    old.wait_yes();
+    wait_yes(&old);
     let began = Instant::now();
     let mut let_in = ask_ten(&mut kept);
     assert!(let_in >= 3, "{let_in}");
     for _ in 0..3 {
         let new = place.start();
         new.wait_log("warming up beside a predecessor");
-        new.wait_yes();
+        wait_yes(&new);
         old.signal("TERM");
         assert_eq!(old.exit_code(), Some(0));
         old = new;
@@ -293,7 +237,7 @@
     assert_eq!(place.ask(&get("look", "")).status, 200);
     let next = place.start();
     next.wait_log("warming up beside a predecessor");
-    next.wait_yes();
+    wait_yes(&next);
     old.signal("TERM");
     assert_eq!(old.exit_code(), Some(0));
     assert_eq!(place.ask(&get("look", "")).status, 200);
@@ -318,13 +262,13 @@
     let server = fine();
     let place = Place::new(&[("s-1", &server, "active")]);
     let old = place.start();
-    old.wait_yes();
+    wait_yes(&old);
     old.signal("KILL");
     wait_for("the name", || place.path().exists());
     drop(old);
     let new = place.start();
-    new.wait_yes();
-    assert_eq!(new.call("status"), "SUCCESS serving\n");
+    wait_yes(&new);
+    assert_eq!(new.operator(b"status\n"), "SUCCESS serving\n");
     assert!(!new.log().contains("predecessor"), "{}", new.log());
     assert_eq!(place.ask(&get("look", "")).status, 200);
     // A file that is no socket is in nobody's way either.
@@ -332,7 +276,7 @@
     std::fs::remove_file(place.path()).expect("the name");
     std::fs::write(place.path(), b"left over").expect("written");
     let new = place.start();
-    new.wait_yes();
+    wait_yes(&new);
 }
 
 /// What discovery tells during the overlap binds both, and a reload reaches whom it is sent to.
@@ -341,7 +285,7 @@
     let (leaving, staying) = (fine(), fine());
     let place = Place::new(&[("s-1", &leaving, "active"), ("s-2", &staying, "active")]);
     let (mut old, new) = warming(&place);
-    new.wait_yes();
+    wait_yes(&new);
     old.signal("HUP");
     wait_for("the reload", || old.figure("sighup_applied") == 1);
     wait_for("both watches", || place.discovery.watches().len() >= 2);
