An answer that begins early no longer loses the body that its server still reads

Cause: after any answer the rest of a piped body was read off, so that its sender sees the answer; while an answer streams, the server still takes that body, and both readers shared it (respond() in clients.rs). Change: it is not read off while an answer streams. The test of a piped body that breaks no longer depends on how much the kernel takes in: its last bytes are written after the server has closed.

--- a/marldeal/src/clients.rs
+++ b/marldeal/src/clients.rs
@@ -460,10 +460,10 @@
     let waiting = Waiting { driver, id };
     let answer = answered.await;
     drop(waiting);
-    // A sender reads its answer once it has sent all.
-    let sent_all = match &pipe {
-        Some(pipe) => pipe.read_off().await,
-        None => true,
+    // A sender reads its answer once it has sent all. Of one that streams the server still takes the rest.
+    let sent_all = match (&pipe, &answer) {
+        (None, _) | (_, Ok(Answer::Streamed(..))) => true,
+        (Some(pipe), _) => pipe.read_off().await,
     };
     let mut answer = match answer {
         Ok(Answer::Served(body)) => Response::new(Reply::Whole(body)),
--- a/marldeal/tests/bodies.rs
+++ b/marldeal/tests/bodies.rs
@@ -244,16 +244,59 @@
     assert_eq!((node.figure("forwards"), node.figure("succeeded.book")), (1, 1));
 }
 
+/// A server that answers at length before it has read all: the rest of the body is still its own.
+#[test]
+fn an_answer_that_begins_before_the_body_has_ended_loses_nothing_of_it() {
+    let size = 3_000_000;
+    let addr = played(move |mut stream| {
+        let mut all = vec![0; 200_000];
+        stream.read_exact(&mut all).expect("some of it");
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let _ = write!(stream, "{head}{:x}\r\n{}\r\n", 100_000, text(100_000));
+        let mut piece = vec![0; 1 << 16];
+        while !all.ends_with(b"the end") {
+            match stream.read(&mut piece) {
+                Ok(count) if count > 0 => all.extend_from_slice(&piece[..count]),
+                _ => return,
+            }
+        }
+        let _ = write!(stream, "5\r\nwhole\r\n0\r\n\r\n");
+        let _ = stream.read(&mut piece);
+    });
+    let node = small(addr);
+    let request = post("book", "k", "", &(text(size) + "the end"));
+    let mut stream = connect(&node);
+    let mut writes = stream.try_clone().expect("a handle");
+    let writing = std::thread::spawn(move || {
+        let (first, rest) = request.split_at(1_500_000);
+        writes.write_all(first.as_bytes()).expect("write");
+        std::thread::sleep(Duration::from_millis(300));
+        writes.write_all(rest.as_bytes()).expect("write");
+    });
+    let answer = read_answer(&mut stream);
+    assert!(answer.body.len() == 100_005 && answer.body.ends_with("whole"), "{}", answer.body.len());
+    writing.join().expect("written");
+}
+
 /// What was never written whole never ran: refused. What was, may have: failed, for it cannot be sent again.
 #[test]
 fn a_piped_body_that_breaks_ends_as_far_as_it_got() {
     let size = 2_000_000;
     let request = |key: &str| post("book", key, "", &text(size));
-    let before = played(|mut stream| {
+    let (told, closed) = mpsc::channel();
+    let before = played(move |mut stream| {
         let _ = stream.read_exact(&mut [0; 100_000]);
+        drop(stream);
+        told.send(()).expect("told");
     });
     let node = small(before);
-    assert_eq!(ask(&node, &request("a")).status, 429);
+    let mut stream = connect(&node);
+    let all = request("a");
+    stream.write_all(&all.as_bytes()[..1_200_000]).expect("write");
+    // The last bytes come once the server has gone: whatever room there is on the way, it cannot have had them.
+    closed.recv_timeout(PATIENCE).expect("the server closes");
+    stream.write_all(&all.as_bytes()[1_200_000..]).expect("write");
+    assert_eq!(read_answer(&mut stream).status, 429);
     let after = played(|mut stream| {
         read(&mut stream).expect("all of it");
     });
