--- a/marldeal/src/upgrade/frame.rs
+++ b/marldeal/src/upgrade/frame.rs
@@ -1,6 +1,8 @@
 //! What two processes of one limiter write to each other, as bytes; without I/O. A frame is its kind, its length and its
 //! body; a connection's frame comes with one descriptor beside it.
 
+use std::fmt;
+
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use marldeal_snapshot::MOST_BYTES;
 
@@ -29,6 +31,18 @@
     Busy,
 }
 
+/// What was said, without its bytes: they are clients'.
+impl fmt::Display for Frame {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Frame::Hello(version) => write!(f, "says hello in version {version}"),
+            Frame::Snapshot(bytes) => write!(f, "sends a snapshot of {} bytes", bytes.len()),
+            Frame::Connection { .. } => f.write_str("passes a connection"),
+            Frame::Busy => f.write_str("is busy"),
+        }
+    }
+}
+
 impl Frame {
     /// As bytes.
     pub fn to_bytes(&self) -> Bytes {
--- a/marldeal/src/upgrade/mod.rs
+++ b/marldeal/src/upgrade/mod.rs
@@ -137,7 +137,7 @@
                 }
             }
             Ok(Some((Frame::Snapshot(_), _))) => driver.log("a snapshot that came too late is not read"),
-            Ok(Some((other, _))) => driver.log(&format!("the predecessor says {other:?} out of turn")),
+            Ok(Some((other, _))) => driver.log(&format!("the predecessor {other} out of turn")),
             Ok(None) => break,
             Err(e) => {
                 driver.log(&format!("the predecessor: {e}"));
@@ -172,7 +172,7 @@
                 format!("the predecessor hands over: {said}")
             }
             Ok(Some((Frame::Busy, _))) => return None,
-            Ok(Some((other, _))) => format!("the predecessor says {other:?} out of turn"),
+            Ok(Some((other, _))) => format!("the predecessor {other} out of turn"),
             Ok(None) => "the predecessor ended before it handed over".to_string(),
             Err(e) => format!("the predecessor: {e}"),
         };
--- a/marldeal/tests/upgrade.rs
+++ b/marldeal/tests/upgrade.rs
@@ -351,6 +351,13 @@
     beside([foreign.clone(), foreign].concat(), drop, "version 99");
 }
 
+/// What clients have written is nobody's to read in a log.
+#[test]
+fn nothing_of_a_request_is_logged() {
+    let passed = Frame::Connection { begun_ms: None, read: b"GET /secret".to_vec().into() }.to_bytes();
+    beside(passed.to_vec(), drop, "the predecessor passes a connection out of turn");
+}
+
 #[test]
 fn a_frame_beyond_all_bounds_ends_the_talk() {
     beside(vec![2, 0xff, 0xff, 0xff, 0xff, 1, 2, 3], drop, "a frame is too long");
