The house in rooms: marldeal/src grouped, constants with their lowest user

Cause: 27 files stood flat in marldeal/src, and policy.rs, accounts.rs and firms.rs imported one another in a circle. Change: files moved to front/, upstream/, tier/, command/ and settings/; the constants of keepers' parts and grants to accounts.rs, keeper() and what is remembered of words to firms.rs. Moves only: no behaviour changed.

--- a/marldeal/src/demo.rs
+++ b/marldeal/src/command/demo.rs
@@ -13,7 +13,7 @@
 use marldeal_standin::traffic::{draw, Firm, Kind};
 use tokio::time::Instant;
 
-use crate::children::{self, Limiter};
+use crate::command::children::{self, Limiter};
 
 const LIMITERS: u32 = 2;
 const NODES: usize = 3;
--- a/marldeal/src/on_sockets.rs
+++ b/marldeal/src/command/on_sockets.rs
@@ -32,7 +32,7 @@
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 
-use crate::children::{self, Limiter};
+use crate::command::children::{self, Limiter};
 
 /// Time allowed after the last arrival for all to be answered.
 const AFTER: Duration = Duration::from_secs(10);
--- a/marldeal/src/rehearse.rs
+++ b/marldeal/src/command/rehearse.rs
@@ -263,7 +263,8 @@
     }
     let bar = bar(scenario.seconds.ceil() as u64);
     let watched = bar.clone();
-    let real = crate::on_sockets::play(&scenario, seeds.seed, move |s| watched.set_position(s as u64))?;
+    let real =
+        crate::command::on_sockets::play(&scenario, seeds.seed, move |s| watched.set_position(s as u64))?;
     bar.finish_and_clear();
     let virtually = World::new(&scenario, seeds.seed)?.play(|_| {});
     if let Some(path) = page {
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -21,9 +21,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
 
-use crate::config::Config;
 use crate::payload::{Payload, Piece};
-use crate::roster::{self, News, Sources, MOST_SERVERS};
+use crate::settings::config::Config;
+use crate::settings::roster::{self, News, Sources, MOST_SERVERS};
 
 /// Time in milliseconds: Unix time at the start, then the steady clock. Discovery's start times need no
 /// conversion, and a limiter that starts again never sees a moment twice.
--- a/marldeal/src/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -26,7 +26,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::driver::{Answer, Content, Driver};
-use crate::head::{self, Layout};
+use crate::front::head::{self, Layout};
 use crate::payload::{self, Payload, Progress, Refused, Reply, Watched, STILL};
 use crate::tapped::{Tap, Tapped};
 use crate::upgrade::{Heir, Passed};
--- a/marldeal/src/external.rs
+++ b/marldeal/src/front/external.rs
@@ -28,12 +28,12 @@
 use tonic::transport::server::{Connected, TcpConnectInfo};
 use tonic::{Request, Response, Status, Streaming};
 
-use crate::config::Config;
 use crate::driver::{Driver, Word};
-use crate::extensions::ExternalProcessor;
-use crate::head::{self, Bad, Told};
+use crate::front::head::{self, Bad, Told};
+use crate::front::words;
+use crate::settings::config::Config;
+use crate::settings::extensions::ExternalProcessor;
 use crate::tapped::{Tap, Tapped};
-use crate::words;
 
 /// A proxy is asked for more time once it has waited so long: well before the 200 ms that Envoy waits by default.
 const NUDGE: Duration = Duration::from_millis(50);
--- a/marldeal/src/head.rs
+++ b/marldeal/src/front/head.rs
@@ -4,7 +4,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
 
-use crate::config::Config;
+use crate::settings::config::Config;
 
 /// Names the request.
 pub const CORRELATION: HeaderName = HeaderName::from_static("x-correlation-id");
--- a/marldeal/src/words.rs
+++ b/marldeal/src/front/words.rs
@@ -15,7 +15,7 @@
 use marldeal_external::{Conflict, Verdict};
 
 use crate::driver::Word;
-use crate::head::{Bad, TIME_LEFT};
+use crate::front::head::{Bad, TIME_LEFT};
 
 /// Names the chosen node: endpoint picker protocol of the Gateway API inference extension.
 pub const DESTINATION: &str = "x-gateway-destination-endpoint";
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -5,7 +5,7 @@
 //! // A file that switches something on is read whole, and each mistake is named.
 //! let path = std::env::temp_dir().join("marldeal-doc-example.toml");
 //! std::fs::write(&path, "[external_processor]\nlisten = \"127.0.0.1:0\"\nmax_conections = 4\n")?;
-//! let found = marldeal::extensions::Extensions::from_file(&path).unwrap_err();
+//! let found = marldeal::settings::extensions::Extensions::from_file(&path).unwrap_err();
 //! assert_eq!(found[0].key, "external_processor.max_conections");
 //! # std::fs::remove_file(path)?;
 //! # Ok::<(), std::io::Error>(())
@@ -13,25 +13,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod asking;
-pub mod children;
-pub mod clients;
-pub mod config;
-pub mod demo;
-pub mod discovery;
+pub mod command;
 pub mod driver;
-pub mod extensions;
-pub mod external;
-pub mod head;
+pub mod front;
 pub mod management;
-pub mod mistakes;
-pub mod on_sockets;
 pub mod payload;
-pub mod peers;
-pub mod rehearse;
-pub mod roster;
 pub mod run;
-pub mod servers;
+pub mod settings;
 pub mod tapped;
+pub mod tier;
 pub mod upgrade;
-pub mod words;
+pub mod upstream;
--- a/marldeal/src/main.rs
+++ b/marldeal/src/main.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use marldeal::config::Config;
-use marldeal::extensions::Extensions;
-use marldeal::mistakes::Mistake;
-use marldeal::rehearse::{self, Rehearse};
+use marldeal::command::rehearse::{self, Rehearse};
+use marldeal::settings::config::Config;
+use marldeal::settings::extensions::Extensions;
+use marldeal::settings::mistakes::Mistake;
 
 /// A quota-keeping limiter. Without a command it serves, configured by ROUTER_CONFIG.
 #[derive(Parser)]
@@ -49,7 +49,7 @@
     let done = match arguments.command {
         None => marldeal::run::run(arguments.extensions.as_deref()),
         Some(Command::Check { files }) => check(&files),
-        Some(Command::Demo { seconds }) => marldeal::demo::run(seconds),
+        Some(Command::Demo { seconds }) => marldeal::command::demo::run(seconds),
         Some(Command::Rehearse(what)) => rehearse::run(*what),
     };
     match done {
--- a/marldeal/src/management/mod.rs
+++ b/marldeal/src/management/mod.rs
@@ -17,7 +17,7 @@
 pub mod line;
 
 /// Callers held at once: of more, the one that has said nothing for longest goes. With what is kept for them
-/// ([`crate::config`]), clients cannot take their descriptors.
+/// ([`crate::settings::config`]), clients cannot take their descriptors.
 pub const MOST_CALLERS: usize = 16;
 /// A caller has so long for its line, and so long to take the answer in.
 const CALL_TIME: Duration = Duration::from_secs(5);
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -9,13 +9,17 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
-use crate::clients::Handover;
-use crate::config::Config;
 use crate::driver::Driver;
-use crate::extensions::Extensions;
-use crate::servers::Servers;
+use crate::front::clients::Handover;
+use crate::front::{clients, external};
+use crate::settings::config::Config;
+use crate::settings::extensions::Extensions;
+use crate::settings::mistakes;
+use crate::tier::peers;
 use crate::upgrade::{Heir, Meeting};
-use crate::{clients, discovery, external, management, mistakes, peers, upgrade};
+use crate::upstream::discovery;
+use crate::upstream::servers::Servers;
+use crate::{management, upgrade};
 
 /// Runs a limiter as the environment configures it, with what a file switches on beside.
 ///
--- a/marldeal/src/config.rs
+++ b/marldeal/src/settings/config.rs
@@ -7,8 +7,8 @@
 use marldeal_lifecycle::Times;
 use serde::Deserialize;
 
-use crate::mistakes::{self, Mistake};
-use crate::roster::List;
+use crate::settings::mistakes::{self, Mistake};
+use crate::settings::roster::List;
 
 /// The configuration as the platform writes it.
 #[derive(Deserialize)]
--- a/marldeal/src/extensions.rs
+++ b/marldeal/src/settings/extensions.rs
@@ -7,8 +7,8 @@
 use marldeal_external::{Bounds, Retries};
 use serde::Deserialize;
 
-use crate::head::Layout;
-use crate::mistakes::{self, Mistake};
+use crate::front::head::Layout;
+use crate::settings::mistakes::{self, Mistake};
 
 /// The file as it is written.
 #[derive(Deserialize, Default)]
--- /dev/null
+++ b/marldeal/src/settings/mod.rs
@@ -0,0 +1,6 @@
+//! What the limiter is told: configuration, extensions, the list of servers, and what is wrong in them.
+
+pub mod config;
+pub mod extensions;
+pub mod mistakes;
+pub mod roster;
--- /dev/null
+++ b/marldeal/src/tier/mod.rs
@@ -0,0 +1,3 @@
+//! What limiters say to one another.
+
+pub mod peers;
--- a/marldeal/src/upgrade/mod.rs
+++ b/marldeal/src/upgrade/mod.rs
@@ -23,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::driver::Driver;
-use crate::peers;
+use crate::tier::peers;
 use frame::Frame;
 
 pub mod frame;
--- a/marldeal/src/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -12,9 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::asking::{self, Asking};
 use crate::driver::Driver;
-use crate::roster::{news, List};
+use crate::settings::roster::{news, List};
+use crate::upstream::asking::{self, Asking};
 
 /// Beats come every 2 s; after two missed ones the watch counts as broken.
 const SILENCE: Duration = Duration::from_millis(4500);
--- /dev/null
+++ b/marldeal/src/upstream/mod.rs
@@ -0,0 +1,5 @@
+//! What lies behind the limiter: servers and discovery.
+
+pub mod asking;
+pub mod discovery;
+pub mod servers;
--- a/marldeal/src/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -21,10 +21,10 @@
 use tokio::sync::oneshot;
 use tokio::time::{timeout, timeout_at};
 
-use crate::config::Config;
 use crate::driver::{Driver, Job, Upstream};
-use crate::head::{CORRELATION, KEY, TIME_LEFT};
+use crate::front::head::{CORRELATION, KEY, TIME_LEFT};
 use crate::payload::{Outgoing, Piece, Progress, Watched, MOST_WHOLE, STILL};
+use crate::settings::config::Config;
 use crate::tapped::{Tap, Tapped};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
--- a/src/accounts.rs
+++ b/src/accounts.rs
@@ -4,9 +4,20 @@
 use marldeal_firms::Fate;
 
 use crate::interface::*;
-use crate::policy::{BACKUP_PART, CEILING_PARTS, DEMAND_MS, GRANT_MS};
 use crate::state::*;
 
+/// Shares of a customer's ceiling that its keepers own, the first asked first. Fixed: no silence moves them;
+/// the first one's is near the whole quota, the others carry on while it is dead.
+pub(crate) const CEILING_PARTS: [f64; 3] = [0.62, 0.23, 0.15];
+/// Share of the quota that the others grant: the first one may be cut off from some members only.
+pub(crate) const BACKUP_PART: f64 = 0.5;
+/// Least and most milliseconds over which demand is smoothed, in between the time of a whole burst.
+pub(crate) const DEMAND_MS: (Millis, Millis) = (1000.0, 10_000.0);
+/// Milliseconds after its arrival in which a request may spend units granted under a ceiling; until then the
+/// keeper counts them against its depth. Waits for a word and for room fit in.
+pub(crate) const GRANT_MS: Millis = 500.0;
+/// Customers for each cell of a row in the sketches of debts.
+pub(crate) const FIRMS_A_CELL: usize = 8;
 /// Units lent that are no more than rounding.
 const NO_UNITS: f64 = 1e-6;
 
@@ -118,7 +129,6 @@
     use marldeal_firms::{Debts, Table};
 
     use super::*;
-    use crate::firms::FIRMS_A_CELL;
 
     /// All that grows with the number of customers, at sizes just under, at and just over a power of two.
     #[test]
--- a/src/firms.rs
+++ b/src/firms.rs
@@ -6,10 +6,9 @@
 
 use marldeal_firms::Fate;
 
-use crate::accounts::{owed_s, part, share};
+use crate::accounts::{owed_s, part, share, CEILING_PARTS, FIRMS_A_CELL, GRANT_MS};
 use crate::interface::*;
 use crate::message::Ask;
-use crate::policy::{keeper, CEILING_PARTS, GRANT_KEPT_MS, GRANT_MS, TOLD_MS};
 use crate::state::*;
 
 /// A customer not seen for so many milliseconds is dropped, if nothing is lost by it.
@@ -27,12 +26,13 @@
 const FILLED: f64 = 0.25;
 /// Records gone through in one step at most; a step comes every 100 ms.
 const STEP_WORK: usize = 1024;
+/// Milliseconds that a keeper remembers its words, and that they count at a member.
+pub(crate) const GRANT_KEPT_MS: Millis = 8000.0;
+pub(crate) const TOLD_MS: Millis = 4000.0;
 /// Units granted under ceilings, or grants out, that are kept in order at most; beyond it none is granted.
 pub(crate) const MOST_TERMS: usize = 1 << 16;
 /// Share of the bound at which it counts as left behind.
 const OVER: f64 = 0.9;
-/// Customers for each cell of a row in the sketches of debts.
-pub(crate) const FIRMS_A_CELL: usize = 8;
 /// Least grants kept, for the requests that are open here; lines of a message.
 const LEAST_GRANTS: usize = 8192;
 const MOST_LINES: f64 = 10.0;
@@ -251,3 +251,19 @@
         Some(self.firms().line(held, most, what))
     }
 }
+
+/// The position of a customer's keeper of that rank, the same at every limiter; none past the last.
+pub(crate) fn keeper(
+    customer: CustomerId,
+    (first, spread): (u32, u32),
+    limiters: u32,
+    rank: u32,
+) -> Option<u32> {
+    let spread = spread.clamp(1, limiters);
+    let keepers = (CEILING_PARTS.len() as u32).min(spread);
+    // Fibonacci hashing: customers fall evenly on their sets.
+    let hash = (customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32;
+    let place = (hash % spread + rank * (spread / keepers)) % spread;
+    let position = (u64::from(first) + u64::from(place)) % u64::from(limiters);
+    (rank < keepers).then_some(position as u32)
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,8 @@
 
 use marldeal_firms::Fate;
 
-use crate::firms::{most, MOST_TERMS};
+use crate::accounts::{CEILING_PARTS, GRANT_MS};
+use crate::firms::{keeper, most, MOST_TERMS, TOLD_MS};
 use crate::interface::*;
 use crate::legal::check;
 use crate::message::{has_room, message, read_message, Ask, Done, Line, Word};
@@ -37,19 +38,6 @@
 const HOLD_PART: f64 = 0.25;
 
 // Quotas: members and keepers.
-/// Shares of a customer's ceiling that its keepers own, the first asked first. Fixed: no silence moves them;
-/// the first one's is near the whole quota, the others carry on while it is dead.
-pub(crate) const CEILING_PARTS: [f64; 3] = [0.62, 0.23, 0.15];
-/// Share of the quota that the others grant: the first one may be cut off from some members only.
-pub(crate) const BACKUP_PART: f64 = 0.5;
-/// Least and most milliseconds over which demand is smoothed, in between the time of a whole burst.
-pub(crate) const DEMAND_MS: (Millis, Millis) = (1000.0, 10_000.0);
-/// Milliseconds after its arrival in which a request may spend units granted under a ceiling; until then the
-/// keeper counts them against its depth. Waits for a word and for room fit in.
-pub(crate) const GRANT_MS: Millis = 500.0;
-/// Milliseconds that a keeper remembers its words, and that they count at a member.
-pub(crate) const GRANT_KEPT_MS: Millis = 8000.0;
-pub(crate) const TOLD_MS: Millis = 4000.0;
 /// Longest wait for ceilings to fill at a start; a peer that started so much earlier serves already.
 const MOST_SETTLE_MS: Millis = 5000.0;
 const ELDER_MS: Millis = 2000.0;
@@ -1006,19 +994,3 @@
         _ => true,
     }
 }
-
-/// The position of a customer's keeper of that rank, the same at every limiter; none past the last.
-pub(crate) fn keeper(
-    customer: CustomerId,
-    (first, spread): (u32, u32),
-    limiters: u32,
-    rank: u32,
-) -> Option<u32> {
-    let spread = spread.clamp(1, limiters);
-    let keepers = (CEILING_PARTS.len() as u32).min(spread);
-    // Fibonacci hashing: customers fall evenly on their sets.
-    let hash = (customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32;
-    let place = (hash % spread + rank * (spread / keepers)) % spread;
-    let position = (u64::from(first) + u64::from(place)) % u64::from(limiters);
-    (rank < keepers).then_some(position as u32)
-}
