--- /dev/null
+++ b/crates/rehearsal/src/post.rs
@@ -0,0 +1,205 @@
+//! What becomes of each datagram between two limiters: lost, late, twice, spoilt, or cut off. Each ordered pair is a way of
+//! its own. No I/O and no clock: the virtual world and real processes ask the same machine.
+
+use fawnhill::Millis;
+use rand::RngExt;
+
+use crate::draws::{self, Stream};
+use crate::rules::Store;
+use crate::scenario::{Scenario, Trouble, What};
+
+/// One arrival of a datagram.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Arrival {
+    /// After so many milliseconds.
+    pub after_ms: Millis,
+    /// One of its bytes is spoilt: which, as a share of its length, and by what.
+    pub spoilt: Option<(f64, u8)>,
+}
+
+/// The ways between limiters, and what is wrong with them now.
+pub struct Post {
+    mail_ms: [f64; 2],
+    loss: f64,
+    per_s: f64,
+    buildings: u32,
+    /// How often each building is cut off now.
+    cut: Vec<u32>,
+    /// What is wrong now, by its number in the timeline.
+    wrong: Vec<(usize, Trouble)>,
+    /// What each limiter may still take in.
+    room: Vec<Store>,
+}
+
+impl Post {
+    /// The post of a scenario that begins at `from`.
+    pub fn new(scenario: &Scenario, from: Millis) -> Post {
+        let per_s = scenario.limiters.messages_per_s;
+        Post {
+            mail_ms: scenario.net.mail_ms,
+            loss: scenario.net.mail_loss,
+            per_s,
+            buildings: scenario.buildings,
+            cut: vec![0; scenario.buildings as usize],
+            wrong: Vec::new(),
+            room: vec![Store::full(from, per_s); scenario.limiters.count as usize],
+        }
+    }
+
+    /// A trouble of the timeline begins; those that have nothing to do with datagrams are passed over.
+    pub fn begins(&mut self, number: usize, trouble: &Trouble) {
+        match trouble.what {
+            What::Cut => self.cut[trouble.building.unwrap_or(0) as usize] += 1,
+            What::Lossy | What::Late | What::Twice | What::Garble | What::Groups => {
+                self.wrong.push((number, trouble.clone()));
+            }
+            _ => {}
+        }
+    }
+
+    /// It ends.
+    pub fn ends(&mut self, number: usize, trouble: &Trouble) {
+        if trouble.what == What::Cut {
+            self.cut[trouble.building.unwrap_or(0) as usize] -= 1;
+        }
+        self.wrong.retain(|(n, _)| *n != number);
+    }
+
+    /// Two buildings reach one another.
+    pub fn reachable(&self, a: u32, b: u32) -> bool {
+        a == b || (self.cut[a as usize] == 0 && self.cut[b as usize] == 0)
+    }
+
+    /// Discovery reaches a building.
+    pub fn told(&self, building: u32) -> bool {
+        self.cut[building as usize] == 0
+    }
+
+    /// The arrivals of a datagram that `from` sends to `to` now; none if it is lost.
+    pub fn arrivals(&self, from: usize, to: usize, rng: &mut Stream, out: &mut Vec<Arrival>) {
+        let on_way = |t: &Trouble| {
+            let of =
+                |list: &Option<Vec<u32>>, who: usize| list.as_ref().is_none_or(|l| l.contains(&(who as u32)));
+            of(&t.from, from) && of(&t.to, to)
+        };
+        let wrong =
+            |what: What| self.wrong.iter().map(|(_, t)| t).filter(move |t| t.what == what && on_way(t));
+        let share = |what: What| wrong(what).map(|t| t.share.unwrap_or(0.0)).sum::<f64>();
+        let lost = draws::chance(rng, self.loss + share(What::Lossy));
+        let parted = wrong(What::Groups).any(|t| {
+            let both = |g: &Vec<u32>| g.contains(&(from as u32)) && g.contains(&(to as u32));
+            !t.groups.iter().flatten().any(both)
+        });
+        let building = |l: usize| l as u32 % self.buildings;
+        if lost || parted || !self.reachable(building(from), building(to)) {
+            return;
+        }
+        let copies = if draws::chance(rng, share(What::Twice)) { 2 } else { 1 };
+        for _ in 0..copies {
+            let mut after_ms = draws::between(rng, self.mail_ms);
+            for late in wrong(What::Late) {
+                after_ms += draws::between(rng, late.late_ms.unwrap_or([0.0, 0.0]));
+            }
+            // Never by 0: that would leave it whole.
+            let spoilt = draws::chance(rng, share(What::Garble))
+                .then(|| (rng.random::<f64>(), 1 + (rng.random::<f64>() * 255.0) as u8));
+            out.push(Arrival { after_ms, spoilt });
+        }
+    }
+
+    /// A datagram has come to a limiter: false if that has taken in as many as it may.
+    pub fn takes_in(&mut self, now: Millis, to: usize) -> bool {
+        self.room[to].take(now, self.per_s, self.per_s, 1.0)
+    }
+}
+
+impl Arrival {
+    /// What arrives of it.
+    pub fn body(&self, mut body: Vec<u8>) -> Vec<u8> {
+        if let Some((place, by)) = self.spoilt {
+            let at = (place * body.len() as f64) as usize;
+            if let Some(byte) = body.get_mut(at) {
+                *byte ^= by;
+            }
+        }
+        body
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MANY: usize = 4000;
+
+    fn post(timeline: &str) -> Post {
+        let text = format!("[limiters]\ncount = 6\n[net]\nmail_loss = 0.0\n{timeline}");
+        let scenario = Scenario::read(&text).unwrap_or_else(|wrong| panic!("{wrong:?}"));
+        let mut post = Post::new(&scenario, 0.0);
+        for (n, t) in scenario.timeline.iter().enumerate() {
+            post.begins(n, t);
+        }
+        post
+    }
+
+    /// Share of the datagrams that arrive, and the mean of their arrivals.
+    fn arrive(post: &Post, from: usize, to: usize) -> (f64, Vec<Arrival>) {
+        let mut rng = draws::stream(3, "post", 0);
+        let mut all = Vec::new();
+        let mut came = 0;
+        for _ in 0..MANY {
+            let mut out = Vec::new();
+            post.arrivals(from, to, &mut rng, &mut out);
+            came += usize::from(!out.is_empty());
+            all.append(&mut out);
+        }
+        (came as f64 / MANY as f64, all)
+    }
+
+    #[test]
+    fn one_way_can_be_deaf_while_the_other_hears() {
+        let post =
+            post("[[timeline]]\nwhat = \"lossy\"\nshare = 1.0\nfrom = [0]\nto = [1]\nat_s = 0\nfor_s = 9\n");
+        assert_eq!((arrive(&post, 0, 1).0, arrive(&post, 1, 0).0, arrive(&post, 0, 2).0), (0.0, 1.0, 1.0));
+    }
+
+    #[test]
+    fn groups_that_overlap_leave_one_limiter_in_two_fleets() {
+        let post = post(
+            "[[timeline]]\nwhat = \"groups\"\ngroups = [[0, 1, 2], [2, 3, 4, 5]]\nat_s = 0\nfor_s = 9\n",
+        );
+        let hears = |a, b| arrive(&post, a, b).0 == 1.0;
+        assert!(hears(0, 2) && hears(2, 3) && hears(3, 2) && !hears(0, 3) && !hears(4, 1));
+    }
+
+    #[test]
+    fn twice_late_and_garbled_are_drawn_by_their_figures() {
+        let post = post(
+            "[[timeline]]\nwhat = \"twice\"\nshare = 1.0\nat_s = 0\nfor_s = 9\n\
+             [[timeline]]\nwhat = \"late\"\nlate_ms = [500, 700]\nat_s = 0\nfor_s = 9\n\
+             [[timeline]]\nwhat = \"garble\"\nshare = 0.25\nat_s = 0\nfor_s = 9\n",
+        );
+        let (_, all) = arrive(&post, 0, 1);
+        assert_eq!(all.len(), 2 * MANY);
+        assert!(all.iter().all(|a| (501.0..=713.0).contains(&a.after_ms)));
+        let spoilt = all.iter().filter(|a| a.spoilt.is_some()).count() as f64 / all.len() as f64;
+        assert!((0.22..0.28).contains(&spoilt), "{spoilt}");
+        let whole = vec![7; 40];
+        let differ = |a: &Arrival| a.body(whole.clone()).iter().filter(|b| **b != 7).count();
+        assert!(all.iter().all(|a| differ(a) == usize::from(a.spoilt.is_some())));
+    }
+
+    #[test]
+    fn what_ends_leaves_nothing_behind() {
+        let scenario = Scenario::read(
+            "[[timeline]]\nwhat = \"cut\"\nbuilding = 1\nat_s = 0\nfor_s = 9\n\
+             [[timeline]]\nwhat = \"lossy\"\nshare = 1.0\nat_s = 0\nfor_s = 9\n",
+        )
+        .expect("a scenario");
+        let mut post = Post::new(&scenario, 0.0);
+        scenario.timeline.iter().enumerate().for_each(|(n, t)| post.begins(n, t));
+        assert!(!post.reachable(0, 1) && post.reachable(0, 2) && !post.told(1) && post.told(2));
+        scenario.timeline.iter().enumerate().for_each(|(n, t)| post.ends(n, t));
+        assert!(post.reachable(0, 1) && arrive(&post, 0, 1).0 > 0.9);
+    }
+}
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -140,6 +140,12 @@
     add("nodes", t.nodes.as_deref().map(list));
     add("share of the nodes", number(t.node_share));
     add("limiters", t.limiters.as_deref().map(list));
+    add("share of the limiters", number(t.limiter_share));
+    add("from", t.from.as_deref().map(list));
+    add("to", t.to.as_deref().map(list));
+    add("groups", t.groups.as_ref().map(|g| g.iter().map(|g| list(g)).collect::<Vec<_>>().join(" | ")));
+    add("late ms", t.late_ms.map(|[a, b]| format!("{a} to {b}")));
+    add("stumbles", t.stumbles.map(|n| n.to_string()));
     add("building", t.building.map(|b| b.to_string()));
     add("plan", t.plan.clone());
     add("firms", t.firms.map(|f| f.to_string()));
--- a/crates/rehearsal/src/scenario/check.rs
+++ b/crates/rehearsal/src/scenario/check.rs
@@ -104,14 +104,23 @@
             ("times", t.times.is_some(), matches!(t.what, Surge | Slow), true),
             ("plan", t.plan.is_some(), matches!(t.what, Surge | Strangers), t.what == Strangers),
             ("firms", t.firms.is_some(), t.what == Flood, true),
-            ("share", t.share.is_some(), matches!(t.what, Flood | Errors | Resets | Lossy), true),
-            ("per_s", t.per_s.is_some(), t.what == Strangers, true),
+            (
+                "share",
+                t.share.is_some(),
+                matches!(t.what, Flood | Errors | Resets | Lossy | Twice | Garble | Break | Starve),
+                true,
+            ),
+            ("per_s", t.per_s.is_some(), matches!(t.what, Strangers | Trickle), true),
             ("after_s", t.after_s.is_some(), t.what == Drain, true),
             ("every_s", t.every_s.is_some(), matches!(t.what, Pause | Rolling), true),
             ("length_s", t.length_s.is_some(), t.what == Pause, true),
             ("down_s", t.down_s.is_some(), t.what == Rolling, true),
             ("building", t.building.is_some(), t.what == Cut, true),
-            ("limiters", t.limiters.is_some(), matches!(t.what, Restart | Kill | Freeze), true),
+            ("from", t.from.is_some(), matches!(t.what, Lossy | Late | Twice | Garble), false),
+            ("to", t.to.is_some(), matches!(t.what, Lossy | Late | Twice | Garble), false),
+            ("groups", t.groups.is_some(), t.what == Groups, true),
+            ("late_ms", t.late_ms.is_some(), matches!(t.what, Late | Hold), true),
+            ("stumbles", t.stumbles.is_some(), t.what == Kill, false),
         ];
         let key = |name: &str| format!("timeline[{n}].{name}");
         let named = name_of(t.what);
@@ -122,7 +131,37 @@
                 found.push(Wrong::new(key(name), format!("missing: \"{named}\" needs it")));
             }
         }
-        let on_nodes = matches!(t.what, Exit | Drain | Stall | Pause | Slow | Errors | Resets | Vanish);
+        let needs_limiters = matches!(t.what, Restart | Kill | Freeze | Starve);
+        let may_limiters =
+            needs_limiters || matches!(t.what, RosterSilent | Refuse | Mute | Break | Hold | Trickle);
+        match (may_limiters, &t.limiters, t.limiter_share) {
+            (true, None, None) if needs_limiters => {
+                found.push(Wrong::new(key("limiters"), "missing: limiters or limiter_share is expected"));
+            }
+            (true, Some(_), Some(_)) => {
+                found.push(Wrong::new(
+                    key("limiter_share"),
+                    "limiters or limiter_share is expected, not both",
+                ));
+            }
+            (true, ..) | (false, None, None) => {}
+            (false, ..) => found.push(Wrong::new(key("limiters"), format!("not expected for \"{named}\""))),
+        }
+        let on_nodes = matches!(
+            t.what,
+            Exit | Drain
+                | Stall
+                | Pause
+                | Slow
+                | Errors
+                | Resets
+                | Vanish
+                | Refuse
+                | Mute
+                | Break
+                | Hold
+                | Trickle
+        );
         match (on_nodes, &t.nodes, t.node_share) {
             (true, None, None) => {
                 found.push(Wrong::new(key("nodes"), "missing: nodes or node_share is expected"))
@@ -137,11 +176,17 @@
         if !below(&t.nodes, self.nodes.count) {
             found.push(Wrong::new(key("nodes"), format!("numbers below {} are expected", self.nodes.count)));
         }
-        if !below(&t.limiters, self.limiters.count) {
-            found.push(Wrong::new(
-                key("limiters"),
-                format!("numbers below {} are expected", self.limiters.count),
-            ));
+        let grouped = t.groups.as_ref().map(|groups| groups.concat());
+        for (name, list) in
+            [("limiters", &t.limiters), ("from", &t.from), ("to", &t.to), ("groups", &grouped)]
+        {
+            if !below(list, self.limiters.count) {
+                let what = format!("numbers below {} are expected", self.limiters.count);
+                found.push(Wrong::new(key(name), what));
+            }
+        }
+        if matches!(t.what, Starve | Break) && t.share.is_some_and(|s| s > 1.0) {
+            found.push(Wrong::new(key("share"), "at most 1 is expected"));
         }
         if t.building.is_some_and(|b| b >= self.buildings) {
             found.push(Wrong::new(key("building"), format!("a number below {} is expected", self.buildings)));
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -312,18 +312,38 @@
     Vanish,
     /// `building` is cut off from the others.
     Cut,
-    /// A further `share` of the messages between limiters is lost.
+    /// A further `share` of the messages between limiters is lost; with `from` and `to` on those ways alone.
     Lossy,
-    /// Nobody hears a change of the roster.
+    /// Messages between limiters, or those `from` some `to` others, come later by `late_ms`, each by its own.
+    Late,
+    /// A `share` of the messages comes twice.
+    Twice,
+    /// A `share` of the messages comes with a byte spoilt.
+    Garble,
+    /// Limiters hear one another only where one of `groups` holds both.
+    Groups,
+    /// Nobody, or none of `limiters`, hears a change of the roster.
     RosterSilent,
+    /// `nodes` refuse connections of `limiters`; those that are open stay.
+    Refuse,
+    /// `nodes` accept connections of `limiters`, and take in and say nothing on any of them.
+    Mute,
+    /// A `share` of what `limiters` send to `nodes` breaks off before its last byte.
+    Break,
+    /// Answers of `nodes` to `limiters` are held back by `late_ms`.
+    Hold,
+    /// No more than `per_s` bytes a second go each way between `limiters` and `nodes`, on each connection.
+    Trickle,
     /// `limiters` get SIGTERM, and are up again `for_s` after they ended.
     Restart,
     /// All limiters are restarted one after another, `every_s` apart, each down for `down_s`.
     Rolling,
-    /// `limiters` are killed and up again after `for_s`.
+    /// `limiters` are killed and up again after `for_s`; with `stumbles` they die so often as they start.
     Kill,
     /// `limiters` stand still, and go on.
     Freeze,
+    /// `limiters` have a slow core: they stand still for a `share` of each 100 ms.
+    Starve,
 }
 
 /// One entry of the timeline.
@@ -351,6 +371,30 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limiters: Option<Vec<u32>>,
+    /// Which limiters, as a share of all, drawn by the seed.
+    #[garde(inner(range(min = 0.0, max = 1.0)))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limiter_share: Option<f64>,
+    /// Whose messages, by number from 0; all if left out.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from: Option<Vec<u32>>,
+    /// Messages to whom, by number from 0; all if left out.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to: Option<Vec<u32>>,
+    /// Groups of limiters, which may overlap.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub groups: Option<Vec<Vec<u32>>>,
+    /// How much later, least and most, in milliseconds.
+    #[garde(inner(custom(span(0.0, 600_000.0))))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub late_ms: Option<[f64; 2]>,
+    /// How often a limiter dies as it starts.
+    #[garde(inner(range(min = 0, max = 20)))]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stumbles: Option<u32>,
     /// Which building, by number from 0.
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -527,6 +571,47 @@
     }
 }
 
+impl Scenario {
+    /// The same with all draws that the seed leaves open made: who of the limiters a trouble is about.
+    pub fn drawn(&self, seed: u64) -> Scenario {
+        let mut drawn = self.clone();
+        for (n, t) in drawn.timeline.iter_mut().enumerate() {
+            if let Some(share) = t.limiter_share.take() {
+                let mut rng = crate::draws::stream(seed, "who", n as u64);
+                let mut all: Vec<u32> = (0..self.limiters.count).collect();
+                let some = (f64::from(self.limiters.count) * share).round() as usize;
+                for at in 0..some {
+                    let other = crate::draws::between(&mut rng, [at as f64, all.len() as f64]) as usize;
+                    let other = other.min(all.len() - 1);
+                    all.swap(at, other);
+                }
+                all.truncate(some);
+                all.sort_unstable();
+                t.limiters = Some(all);
+            }
+        }
+        drawn
+    }
+
+    /// What of it the virtual world cannot play, and why.
+    pub fn not_virtual(&self) -> Vec<Wrong> {
+        let of = |(n, t): (usize, &Trouble)| {
+            let why = match t.what {
+                What::Refuse | What::Mute | What::Break | What::Hold | What::Trickle => "it has no streams",
+                What::Starve => "a limiter there takes no time to decide",
+                What::Kill if t.stumbles.is_some() => "a limiter there starts in no time",
+                _ => return None,
+            };
+            let what = format!(
+                "\"{}\" is played by real processes only (`marldeal faults`): {why}",
+                name_of(t.what)
+            );
+            Some(Wrong { key: format!("timeline[{n}].what"), what })
+        };
+        self.timeline.iter().enumerate().filter_map(of).collect()
+    }
+}
+
 /// The name of a trouble as files have it.
 pub fn name_of(what: What) -> String {
     format!("{what:?}").chars().fold(String::new(), |mut name, c| {
--- a/crates/rehearsal/src/world/limiters.rs
+++ b/crates/rehearsal/src/world/limiters.rs
@@ -77,19 +77,18 @@
         let all = 0..self.limiters.len();
         let peers = all.filter(|peer| *peer != from && to.is_none_or(|to| to as usize == *peer));
         for peer in peers.collect::<Vec<_>>() {
-            let lost = draws::chance(&mut self.rng, self.loss);
-            let arrives = !lost && self.reachable(self.limiters[from].zone, self.limiters[peer].zone);
-            self.recorder.mailed(self.now, body.len(), arrives);
-            if arrives {
-                let at = self.now + draws::between(&mut self.rng, self.scenario.net.mail_ms);
-                self.note(at, Event::Mail { limiter: peer, from: from as u32, body: body.to_vec() });
+            let mut arrivals = Vec::new();
+            self.post.arrivals(from, peer, &mut self.rng, &mut arrivals);
+            self.recorder.mailed(self.now, body.len(), !arrivals.is_empty());
+            for arrival in arrivals {
+                let (at, body) = (self.now + arrival.after_ms, arrival.body(body.to_vec()));
+                self.note(at, Event::Mail { limiter: peer, from: from as u32, body });
             }
         }
     }
 
     pub(super) fn mail_arrives(&mut self, limiter: usize, from: u32, body: Vec<u8>) {
-        let per_s = self.scenario.limiters.messages_per_s;
-        if self.limiters[limiter].mail.take(self.now, per_s, per_s, 1.0) {
+        if self.post.takes_in(self.now, limiter) {
             self.tell(limiter, Input::Heard { from, body });
         } else {
             self.recorder.messages[1] += 1;
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -25,6 +25,7 @@
 use crate::draws::{self, Stream};
 use crate::figures::{Figures, Recorder, Second};
 use crate::node::{CalledOff, Done, Job, Node, Turned};
+use crate::post::Post;
 use crate::rules::{Oracle, Store};
 use crate::scenario::{Repeats, Scenario, Trouble, What};
 
@@ -112,7 +113,6 @@
     attempts: FxHashMap<(RequestId, u32), u64>,
     /// Idle connections by node: since when.
     idle: Vec<Vec<Millis>>,
-    mail: Store,
     /// The roster as its machine's agent has it.
     view: Vec<ServerEntry>,
     /// When the agent hears the last change sent so far.
@@ -185,9 +185,9 @@
     asked: Vec<Store>,
     /// Firms that are not strangers.
     usual: usize,
-    cut: Vec<u32>,
-    loss: f64,
-    roster_silent: u32,
+    post: Post,
+    /// How often each limiter hears nothing of the roster now.
+    roster_silent: Vec<u32>,
     /// Roster changes that a limiter cannot hear of now.
     unheard: Vec<Vec<Arc<[ServerEntry]>>>,
     oracle: Oracle,
@@ -218,6 +218,10 @@
     /// # Errors
     /// When the limiters cannot be served with the scenario's settings; it names the setting.
     pub fn new(scenario: &Scenario, seed: u64) -> Result<World, String> {
+        if let Some(wrong) = scenario.not_virtual().first() {
+            return Err(wrong.to_string());
+        }
+        let scenario = &scenario.drawn(seed);
         let start = BEGIN_MS - EARLY_MS;
         let count = scenario.limiters.count as usize;
         let nodes = scenario.nodes.count as usize;
@@ -256,7 +260,6 @@
             carried: FxHashMap::default(),
             attempts: FxHashMap::default(),
             idle: vec![Vec::new(); nodes],
-            mail: Store::full(start, scenario.limiters.messages_per_s),
             view: view.clone(),
             heard: start,
             rng: draws::stream(seed, "limiter", l as u64),
@@ -276,9 +279,8 @@
             inside: FxHashMap::default(),
             asked: Vec::new(),
             usual: 0,
-            cut: vec![0; scenario.buildings as usize],
-            loss: scenario.net.mail_loss,
-            roster_silent: 0,
+            post: Post::new(scenario, start),
+            roster_silent: vec![0; count],
             unheard: vec![Vec::new(); count],
             oracle: Oracle::new(scenario, BEGIN_MS),
             recorder: Recorder::new(scenario, BEGIN_MS),
--- a/crates/rehearsal/src/world/nodes.rs
+++ b/crates/rehearsal/src/world/nodes.rs
@@ -89,7 +89,7 @@
     }
 
     pub(super) fn roster_to(&mut self, limiter: usize, entries: Arc<[ServerEntry]>) {
-        if self.roster_silent > 0 || self.cut[self.limiters[limiter].zone as usize] > 0 {
+        if self.roster_silent[limiter] > 0 || !self.post.told(self.limiters[limiter].zone) {
             return self.unheard[limiter].push(entries);
         }
         let after = 1000.0 * draws::between(&mut self.rng, self.scenario.net.roster_s);
--- a/crates/rehearsal/src/world/timeline.rs
+++ b/crates/rehearsal/src/world/timeline.rs
@@ -8,6 +8,7 @@
         let nodes = self.scenario.nodes_of(&t);
         let until = self.now + t.for_s * 1000.0;
         let limiters: Vec<usize> = t.limiters.iter().flatten().map(|l| *l as usize).collect();
+        self.post.begins(trouble, &t);
         match t.what {
             What::Surge => {
                 let plan = t.plan.as_deref().and_then(|p| self.scenario.plan(p));
@@ -42,9 +43,7 @@
                     self.node_exits(node);
                 }
             }
-            What::Cut => self.cut[t.building.unwrap_or(0) as usize] += 1,
-            What::Lossy => self.loss += t.share.unwrap_or(0.0),
-            What::RosterSilent => self.roster_silent += 1,
+            What::RosterSilent => self.hushes(&t, 1),
             What::Restart => limiters.iter().for_each(|l| self.asked_to_end(*l, t.for_s * 1000.0)),
             What::Kill => limiters.iter().for_each(|l| self.dies(*l, t.for_s * 1000.0)),
             What::Freeze => {
@@ -59,6 +58,8 @@
                     self.note(at, Event::Blink { trouble, on: true });
                 }
             }
+            // The post's, or played by processes only.
+            _ => {}
         }
         self.note(until, Event::End { trouble });
         self.stir();
@@ -67,6 +68,7 @@
     pub(super) fn ends(&mut self, trouble: usize) {
         let t: Trouble = self.scenario.timeline[trouble].clone();
         let nodes = self.scenario.nodes_of(&t);
+        self.post.ends(trouble, &t);
         match t.what {
             What::Surge => {
                 let plan = t.plan.as_deref().and_then(|p| self.scenario.plan(p));
@@ -90,21 +92,26 @@
             }
             What::Errors => nodes.iter().for_each(|n| self.machines[*n].errors = 0.0),
             What::Resets => nodes.iter().for_each(|n| self.machines[*n].resets = 0.0),
-            What::Cut => {
-                self.cut[t.building.unwrap_or(0) as usize] -= 1;
-                self.flush_roster();
-            }
-            What::Lossy => self.loss -= t.share.unwrap_or(0.0),
+            What::Cut => self.flush_roster(),
             What::RosterSilent => {
-                self.roster_silent -= 1;
+                self.hushes(&t, -1);
                 self.flush_roster();
             }
-            // What was begun ends by itself.
-            What::Restart | What::Rolling | What::Kill | What::Freeze => {}
+            // What was begun ends by itself, or is the post's, or is played by processes only.
+            _ => {}
         }
         self.stir();
     }
 
+    /// The roster is silent towards some limiters, or all, or is so no longer.
+    fn hushes(&mut self, t: &Trouble, by: i32) {
+        for (l, silent) in self.roster_silent.iter_mut().enumerate() {
+            if t.limiters.as_ref().is_none_or(|some| some.contains(&(l as u32))) {
+                *silent = silent.saturating_add_signed(by);
+            }
+        }
+    }
+
     /// Pauses come and go; a rolling restart takes its next limiter.
     pub(super) fn blinks(&mut self, trouble: usize, on: bool) {
         let t: Trouble = self.scenario.timeline[trouble].clone();
--- a/crates/rehearsal/src/world/way.rs
+++ b/crates/rehearsal/src/world/way.rs
@@ -3,12 +3,9 @@
 use super::*;
 
 impl World {
-    pub(super) fn reachable(&self, a: u32, b: u32) -> bool {
-        a == b || (self.cut[a as usize] == 0 && self.cut[b as usize] == 0)
-    }
-
     pub(super) fn reaches_node(&self, limiter: usize, node: usize) -> bool {
-        !self.machines[node].silent && self.reachable(self.limiters[limiter].zone, self.machines[node].zone)
+        !self.machines[node].silent
+            && self.post.reachable(self.limiters[limiter].zone, self.machines[node].zone)
     }
 
     /// An attempt goes out, from a limiter or from a proxy beside it; its key, if it does.
--- a/marldeal/src/command/on_sockets.rs
+++ b/marldeal/src/command/on_sockets.rs
@@ -45,6 +45,11 @@
         let why = match t.what {
             What::Cut | What::Lossy => "loopback has no buildings and loses no message",
             What::Vanish => "a loopback address cannot fall silent without privileges",
+            What::Late | What::Twice | What::Garble | What::Groups => "nothing stands between limiters there",
+            What::Refuse | What::Mute | What::Break | What::Hold | What::Trickle => {
+                "nothing stands between limiters and nodes there"
+            }
+            What::Starve => "only whole processes stand still there",
             _ => return None,
         };
         Some(format!("\"{}\" is played in the virtual world only: {why}", name_of(t.what)))
@@ -738,7 +743,7 @@
             tokio::time::sleep_until(until).await;
             limiters.iter().for_each(|l| signal(&stage, *l, Signal::SIGCONT));
         }
-        What::Cut | What::Lossy | What::Vanish => {}
+        _ => {}
     }
     tokio::time::sleep_until(until).await;
     match t.what {
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,6 +19,7 @@
 use marldeal_snapshot::{Belief, Grade, Snapshot};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, Notify};
+use tracing::info;
 
 use crate::payload::{Payload, Piece};
 use crate::settings::config::Config;
@@ -259,18 +259,12 @@
         if let Some(mut known) = driver.config.known.clone() {
             known.set_whole();
             let (news, notes) = roster::news(known, &driver.config.names);
-            notes.iter().for_each(|note| driver.log(note));
+            notes.iter().for_each(|note| info!("{note}"));
             driver.apply(news);
         }
         Ok(driver)
     }
 
-    /// One line for the operator.
-    pub fn log(&self, line: &str) {
-        // A log that nobody reads any more must not end the limiter, as `eprintln!` would.
-        let _ = writeln!(std::io::stderr(), "{}: {line}", self.config.name);
-    }
-
     /// Milliseconds of the module's clock.
     pub fn now(&self) -> f64 {
         self.clock.now()
@@ -313,7 +307,8 @@
         let before = self.phase();
         let said = self.life.borrow_mut().handle(self.now(), command);
         if self.phase() != before {
-            self.log(&format!("{before} until now, {} from now on", self.phase()));
+            let phase = self.phase();
+            info!(event = "phase", from = %before, to = %phase, "{before} until now, {phase} from now on");
             self.phase_changed.notify_waiters();
         }
         said
@@ -419,10 +414,10 @@
         self.reloads.set(reloads);
         match new {
             Ok(new) if self.sources.turn_to(new.discovery) => {
-                self.log(&format!("reload: discovery is at {} now", new.discovery));
+                info!("reload: discovery is at {} now", new.discovery);
             }
-            Ok(_) => self.log("reload: nothing new"),
-            Err(why) => self.log(&format!("reload: {why}; the old configuration stands")),
+            Ok(_) => info!("reload: nothing new"),
+            Err(why) => info!("reload: {why}; the old configuration stands"),
         }
     }
 
@@ -457,7 +452,7 @@
         });
         if news.entries.len() < told {
             let over = told - news.entries.len();
-            self.log(&format!("discovery: {over} servers beyond {MOST_SERVERS} were passed over"));
+            info!("discovery: {over} servers beyond {MOST_SERVERS} were passed over");
         }
         if news.whole {
             state.addresses.retain(|id, _| {
@@ -478,7 +473,8 @@
                 None => !gone,
             };
             if changed {
-                self.log(&format!("server {id} at {addr}: {:?}", entry.condition));
+                let state = entry.condition;
+                info!(event = "server", server = %id, %addr, ?state, "server {id} at {addr}: {state:?}");
             }
             if old.is_some_and(|old| entry.condition != Condition::Serving || old != *addr) {
                 self.upstream.close_idle(id);
@@ -689,7 +685,7 @@
                     self.whole_wanted.set(true);
                     self.list_wanted.notify_waiters();
                 }
-                Output::Log(line) => self.log(&line),
+                Output::Log(line) => info!("{line}"),
             }
         }
         if state.rearm() {
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -24,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{timeout, Instant};
+use tracing::info;
 
 use crate::driver::{Answer, Content, Driver};
 use crate::front::head::{self, Layout};
@@ -268,7 +269,7 @@
                 // waits to be accepted is taken a little later.
                 Err(e) => {
                     if !std::mem::replace(&mut failing, true) {
-                        driver.log(&format!("accept: {e}"));
+                        info!("accept: {e}");
                     }
                     clients.evict();
                     tokio::time::sleep(Duration::from_millis(10)).await;
@@ -276,7 +277,7 @@
             },
             why = &mut stop, if !stopped => {
                 stopped = true;
-                driver.log(&format!("{why}: finishing"));
+                info!(event = "finishing", %why, "{why}: finishing");
                 let _ = driver.command(Command::Stop);
             }
             () = driver.phase_changed.notified() => {}
--- a/marldeal/src/front/external.rs
+++ b/marldeal/src/front/external.rs
@@ -27,6 +27,7 @@
 use tokio_stream::Stream;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 use tonic::{Request, Response, Status, Streaming};
+use tracing::info;
 
 use crate::driver::{Driver, Word};
 use crate::front::head::{self, Bad, Told};
@@ -467,11 +468,7 @@
 }
 
 /// Accepts proxies; one too many is closed at once, so that it hears and goes elsewhere.
-fn accepted(
-    listener: TcpListener,
-    most: usize,
-    log: mpsc::UnboundedSender<String>,
-) -> impl Stream<Item = io::Result<Tapped<Proxy>>> {
+fn accepted(listener: TcpListener, most: usize) -> impl Stream<Item = io::Result<Tapped<Proxy>>> {
     let places = Arc::new(Semaphore::new(most));
     let mut full = false;
     async_stream::stream! {
@@ -486,7 +483,7 @@
                     }
                     Err(_) => {
                         if !std::mem::replace(&mut full, true) {
-                            let _ = log.send(format!("external processor: {most} connections are open, {from} was closed"));
+                            info!("external processor: {most} connections are open, {from} was closed");
                         }
                     }
                 },
@@ -506,7 +503,6 @@
 ) {
     driver.serve_proxies(options.bounds);
     let (said, mut heard) = mpsc::unbounded_channel::<Said>();
-    let (log, mut lines) = mpsc::unbounded_channel::<String>();
     let front = Arc::new(Front {
         config: driver.config.clone(),
         options: options.clone(),
@@ -520,12 +516,6 @@
             listening.proxied(input, words);
         }
     });
-    let logging = driver.clone();
-    tokio::task::spawn_local(async move {
-        while let Some(line) = lines.recv().await {
-            logging.log(&line);
-        }
-    });
     let (health, healthy) = tonic_health::server::health_reporter();
     let asking = driver.clone();
     tokio::task::spawn_local(async move {
@@ -564,7 +554,7 @@
         .add_service(healthy);
     let mut stopping = stop.clone();
     let signal = async move { drop(stopping.wait_for(|stop| *stop).await) };
-    let incoming = accepted(listener, options.max_connections, log);
+    let incoming = accepted(listener, options.max_connections);
     let forced = async move {
         let _ = stop.wait_for(|stop| *stop).await;
         tokio::time::sleep(DRAIN_MOST).await;
@@ -572,12 +562,12 @@
     tokio::select! {
         served = server.serve_with_incoming_shutdown(incoming, signal) => {
             if let Err(e) = served {
-                driver.log(&format!("external processor: {e}"));
+                info!("external processor: {e}");
             }
         }
-        () = forced => driver.log("external processor: streams were left open"),
+        () = forced => info!("external processor: streams were left open"),
     }
     let (open, counts) = driver.proxied_counts();
     let observed = front.observed.load(Ordering::Relaxed);
-    driver.log(&format!("external processor: {open} open, {observed} observed, {counts:?}"));
+    info!("external processor: {open} open, {observed} observed, {counts:?}");
 }
--- a/marldeal/src/lib.rs
+++ b/marldeal/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod command;
 pub mod driver;
 pub mod front;
+pub mod logging;
 pub mod management;
 pub mod payload;
 pub mod run;
--- a/marldeal/src/management/mod.rs
+++ b/marldeal/src/management/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::driver::Driver;
 use line::{Call, Read, MOST_LINE};
+use tracing::info;
 
 pub mod line;
 
@@ -33,7 +34,7 @@
             Ok((stream, _)) => stream,
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
-                    driver.log(&format!("management: accept: {e}"));
+                    info!("management: accept: {e}");
                 }
                 callers.borrow_mut().pop_first();
                 tokio::time::sleep(Duration::from_millis(10)).await;
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -8,6 +8,7 @@
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tracing::info;
 
 use crate::driver::Driver;
 use crate::front::clients::Handover;
@@ -19,7 +20,7 @@
 use crate::upgrade::{Heir, Meeting};
 use crate::upstream::discovery;
 use crate::upstream::servers::Servers;
-use crate::{management, upgrade};
+use crate::{logging, management, upgrade};
 
 /// Runs a limiter as the environment configures it, with what a file switches on beside.
 ///
@@ -42,6 +43,7 @@
         Some(path) => Extensions::from_file(path).map_err(|found| mistakes::one_line(&found))?,
         None => Extensions::default(),
     };
+    logging::start(&config.name, extensions.log);
     // Only an inherited listener can be shared by two processes: without one there is nothing to hand over.
     let meeting = inherited.is_some().then(|| upgrade::path(&config.name));
     let predecessor = match &meeting {
@@ -60,7 +62,7 @@
     let driver = Driver::new(config, Rc::new(servers.clone()), beside)?;
     if let Some(bounds) = extensions.final_answers {
         driver.keep_answers(bounds);
-        driver.log(&format!("keeps up to {} final answers by key", bounds.most_answers));
+        info!("keeps up to {} final answers by key", bounds.most_answers);
     }
     if !beside {
         let mail = driver.open_mail().await.map_err(|e| format!("peer_listen: {e}"))?;
@@ -72,7 +74,7 @@
     if let Some(at) = driver.config.management {
         let listener = listen(at).await?;
         let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
-        driver.log(&format!("management on {at}"));
+        info!("management on {at}");
         tokio::task::spawn_local(management::serve(driver.clone(), listener));
     }
     let (stop, stopped) = watch::channel(false);
@@ -81,13 +83,13 @@
         Some(options) => {
             let listener = listen(options.listen).await?;
             let at = listener.local_addr().map_err(|e| format!("no address: {e}"))?;
-            driver.log(&format!("external processor on {at}"));
+            info!("external processor on {at}");
             let serving = external::serve(driver.clone(), options, listener, stopped);
             Some(tokio::task::spawn_local(serving))
         }
         None => None,
     };
-    driver.log(&format!("serves on {at}"));
+    info!(event = "serving", limiter = %driver.config.name, %at, "serves on {at}");
     tokio::task::spawn_local(driver.clone().run_timers());
     tokio::task::spawn_local(async move { servers.sweep().await });
     tokio::task::spawn_local(discovery::watch(driver.clone()));
@@ -122,7 +124,7 @@
         let _ = proxies.await;
     }
     heir.finish().await;
-    driver.log("stops");
+    info!(event = "stopped", "stops");
     Ok(())
 }
 
--- a/marldeal/src/settings/extensions.rs
+++ b/marldeal/src/settings/extensions.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::front::head::Layout;
+use crate::logging::Form;
 use crate::settings::mistakes::{self, Mistake};
 
 /// The file as it is written.
@@ -16,6 +17,14 @@
 struct File {
     external_processor: Option<Processor>,
     final_answers: Option<FinalAnswers>,
+    log: Log,
+}
+
+/// How the log is written.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct Log {
+    form: Form,
 }
 
 /// What is kept of final answers by idempotency key.
@@ -167,6 +176,8 @@
     pub external_processor: Option<ExternalProcessor>,
     /// Final answers that are kept by idempotency key.
     pub final_answers: Option<marldeal_outcomes::Bounds>,
+    /// How the log is written.
+    pub log: Form,
 }
 
 impl Extensions {
@@ -182,7 +193,7 @@
         let external_processor = file.external_processor.map(|p| p.checked(&name, &mut found));
         let final_answers = file.final_answers.map(|f| f.checked(&name, &mut found));
         if found.is_empty() {
-            Ok(Extensions { external_processor, final_answers })
+            Ok(Extensions { external_processor, final_answers, log: file.log.form })
         } else {
             Err(found)
         }
--- a/marldeal/src/upgrade/mod.rs
+++ b/marldeal/src/upgrade/mod.rs
@@ -25,6 +25,7 @@
 use crate::driver::Driver;
 use crate::tier::peers;
 use frame::Frame;
+use tracing::info;
 
 pub mod frame;
 pub mod inherit;
@@ -123,7 +124,7 @@
             None => break "the predecessor has gone".to_string(),
         }
     };
-    driver.log(&why);
+    info!("{why}");
     let _ = driver.command(Command::TakeOver);
     tokio::task::spawn_local(hear_peers(driver.clone()));
     tokio::task::spawn_local(offer(driver.clone(), at.clone()));
@@ -136,17 +137,17 @@
                     let _ = arrivals.send(Passed { stream, begun, read });
                 }
             }
-            Ok(Some((Frame::Snapshot(_), _))) => driver.log("a snapshot that came too late is not read"),
-            Ok(Some((other, _))) => driver.log(&format!("the predecessor {other} out of turn")),
+            Ok(Some((Frame::Snapshot(_), _))) => info!("a snapshot that came too late is not read"),
+            Ok(Some((other, _))) => info!("the predecessor {other} out of turn"),
             Ok(None) => break,
             Err(e) => {
-                driver.log(&format!("the predecessor: {e}"));
+                info!("the predecessor: {e}");
                 break;
             }
         }
     }
     driver.overlap(at.heir.attending.get());
-    driver.log("the predecessor has gone");
+    info!("the predecessor has gone");
 }
 
 /// Learns from snapshots until the last one; says why the place is to be taken, or nothing if another one is before
@@ -166,7 +167,7 @@
                 snapshots += 1;
                 let said = driver.learn(&bytes);
                 if snapshots == 1 {
-                    driver.log(&format!("warming up beside a predecessor: {said}"));
+                    info!("warming up beside a predecessor: {said}");
                     continue;
                 }
                 format!("the predecessor hands over: {said}")
@@ -189,7 +190,7 @@
             Ok(None) => return,
             Err(e) => {
                 if !std::mem::replace(&mut told, true) {
-                    driver.log(&format!("peer_listen: {e}; tried again until it is free"));
+                    info!("peer_listen: {e}; tried again until it is free");
                 }
                 tokio::time::sleep(AGAIN).await;
             }
@@ -215,7 +216,7 @@
 pub async fn offer(driver: Rc<Driver>, at: Meeting) {
     let listener = match bind(&at.path) {
         Ok(listener) => listener,
-        Err(e) => return driver.log(&format!("{}: {e}; upgrades start cautiously", at.path.display())),
+        Err(e) => return info!("{}: {e}; upgrades start cautiously", at.path.display()),
     };
     // Once it has handed over, who comes is to find the successor.
     while driver.phase() != Phase::HandingOver {
@@ -242,7 +243,7 @@
     }
     driver.overlap(true);
     let why = attend(&driver, &mut line, &heir).await;
-    driver.log(&format!("a successor: {why}"));
+    info!("a successor: {why}");
     drop(heir.to.borrow_mut().take());
     heir.attending.set(false);
     heir.left.notify_waiters();
@@ -269,7 +270,7 @@
     if !matches!(timeout(PATIENCE, line.send(&warm, None)).await, Ok(Ok(()))) {
         return "it does not take the snapshot in".to_string();
     }
-    driver.log("a successor warms up");
+    info!("a successor warms up");
     // Until this process is told to end.
     while !matches!(driver.phase(), Phase::Stopping | Phase::HandingOver) {
         tokio::select! {
--- a/marldeal/src/upstream/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tracing::info;
 
 use crate::driver::Driver;
 use crate::settings::roster::{news, List};
@@ -64,10 +65,10 @@
         let before = source.version;
         let why = follow(&driver, &mut source).await;
         if driver.sources.newest.get() != source.number {
-            return driver.log(&format!("discovery: {why}; {} is watched no more", source.addr));
+            return info!("discovery: {why}; {} is watched no more", source.addr);
         }
         let wait = asking.again(source.version != before);
-        driver.log(&format!("discovery: {why}; watching again in {} ms", wait.as_millis()));
+        info!("discovery: {why}; watching again in {} ms", wait.as_millis());
         tokio::select! {
             () = tokio::time::sleep(wait) => {}
             () = driver.list_wanted.notified() => {}
@@ -145,7 +146,7 @@
                     source.version = Some(list.version);
                     driver.sources.told.set(source.number);
                     let (news, notes) = news(list, &driver.config.names);
-                    notes.iter().for_each(|note| driver.log(note));
+                    notes.iter().for_each(|note| info!("{note}"));
                     driver.servers(news);
                 }
                 // What the line held is missing from now on: the watch begins anew where it was still whole.
--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{timeout, timeout_at};
+use tracing::info;
 
 use crate::driver::{Driver, Job, Upstream};
 use crate::front::head::{CORRELATION, KEY, TIME_LEFT};
@@ -346,7 +347,7 @@
         Ok(Ok(stream)) => stream,
         // Want of descriptors or ports here says nothing about the server: it must not count as silent.
         Ok(Err(e)) if e.raw_os_error().is_some_and(|n| OWN_FAULTS.contains(&n)) => {
-            driver.log(&format!("connect: {e}"));
+            info!("connect: {e}");
             return Err(Outcome::NotSent);
         }
         Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
