--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -46,6 +46,7 @@
 
 pub mod ledger;
 pub mod outcomes;
+mod tampered;
 pub mod timers;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -249,6 +250,7 @@
     servers: HashMap<ServerId, bool>,
     next: RequestId,
     ledger: Ledger,
+    echoes: tampered::Echoes,
 }
 
 impl Engine {
@@ -265,6 +267,7 @@
             out: HashMap::new(),
             servers: HashMap::new(),
             next: 0,
+            echoes: tampered::Echoes::default(),
         })
     }
 
@@ -296,7 +299,12 @@
                     self.events.push_back(Event::ClientGone { id });
                 }
             }
-            Input::Heard { from, body } => self.events.push_back(Event::Heard { from, body }),
+            Input::Heard { from, body } => {
+                if planted::is(Fault::Echo) {
+                    self.echo(now, from, &body);
+                }
+                self.events.push_back(Event::Heard { from, body });
+            }
             Input::Due => self.fire(now, out),
         }
         self.work(now, out);
@@ -532,6 +540,7 @@
         match action {
             Action::Send { id, server, cap_ms } => self.send(now, id, server, cap_ms, out),
             Action::Cancel { id, attempt } => self.stop(id, attempt, Outcome::Cancelled, out),
+            Action::Refuse { id, .. } | Action::Fail { id } if self.thaws(now, id) => self.thaw(now, id, out),
             Action::Refuse { id, retry_ms } => self.answer(id, Answer::Refused { retry_ms }, out),
             Action::Fail { id } => self.answer(id, Answer::Failed, out),
             Action::Wake { after_ms, token } => self.timers.push(now + after_ms.max(0.0), Due::Wake(token)),
--- a/crates/faults/src/ground/mod.rs
+++ b/crates/faults/src/ground/mod.rs
@@ -22,7 +22,7 @@
 use marldeal_rehearsal::figures::Recorder;
 use marldeal_rehearsal::node::Node;
 use marldeal_rehearsal::observe::{
-    Invariant, Judges, NothingAfterDeadline, OneUnderANumber, PartsWithinWhole, Seen,
+    Invariant, Judges, NothingAfterDeadline, OneUnderANumber, OneWordAnAsk, PartsWithinWhole, Seen,
 };
 use marldeal_rehearsal::rules::{Oracle, Rule, Store};
 use marldeal_rehearsal::scenario::{name_of, Scenario, Trouble, What};
@@ -227,6 +227,7 @@
     mut progress: impl FnMut(f64) + 'static,
 ) -> Result<Run, String> {
     judges.push(Box::new(NothingAfterDeadline { slack_ms: SEEN_LATE_MS }));
+    judges.push(Box::new(OneWordAnAsk::default()));
     judges.push(Box::new(OneUnderANumber::default()));
     judges.push(Box::new(PartsWithinWhole::default()));
     let started = Instant::now();
@@ -285,6 +286,13 @@
         program: program.clone(),
         files,
     });
+    let watched = Rc::downgrade(&stage);
+    stage.mail.observed(Box::new(move |from, to, given, body| {
+        let (Some(stage), Some(lines)) = (watched.upgrade(), fawnhill::spoken(body)) else { return };
+        let mut state = stage.state.borrow_mut();
+        let now = state.now();
+        state.judges.see(now, &Seen::Words { from, to, given, lines: &lines });
+    }));
     start_all(&stage).await?;
     let began = {
         let mut state = stage.state.borrow_mut();
--- a/crates/faults/src/mail.rs
+++ b/crates/faults/src/mail.rs
@@ -49,8 +49,12 @@
     rng: RefCell<Stream>,
     counts: RefCell<Counts>,
     clock: Box<dyn Fn() -> Millis>,
+    observer: RefCell<Option<Observer>>,
 }
 
+/// Is told of each datagram: from whom, to whom, whether it was given to its receiver or taken from its sender, its bytes.
+pub type Observer = Box<dyn Fn(usize, usize, bool, &[u8])>;
+
 impl Mail {
     /// Faces for all limiters of a scenario, of which `real` says where each listens; `clock` gives the milliseconds.
     ///
@@ -75,6 +79,7 @@
             rng: RefCell::new(draws::stream(seed, "mail", 0)),
             counts: RefCell::new(counts),
             clock: Box::new(clock),
+            observer: RefCell::default(),
             faces,
             all,
             real,
@@ -103,6 +108,17 @@
         self.all.local_addr().map_err(|e| format!("no face for datagrams: {e}"))
     }
 
+    /// From now on this is told of all datagrams.
+    pub fn observed(&self, by: Observer) {
+        *self.observer.borrow_mut() = Some(by);
+    }
+
+    fn told(&self, from: usize, to: usize, given: bool, body: &[u8]) {
+        if let Some(observer) = &*self.observer.borrow() {
+            observer(from, to, given, body);
+        }
+    }
+
     /// What has gone through.
     pub fn counts(&self) -> Counts {
         self.counts.borrow().clone()
@@ -135,6 +151,7 @@
     }
 
     fn passes(self: &Rc<Self>, from: usize, to: usize, body: &[u8]) {
+        self.told(from, to, false, body);
         let mut arrivals = Vec::new();
         self.post.borrow().arrivals(from, to, &mut self.rng.borrow_mut(), &mut arrivals);
         let mut counts = self.counts.borrow_mut();
@@ -146,6 +163,10 @@
             spawn_local(async move {
                 tokio::time::sleep(Duration::from_secs_f64(arrival.after_ms / 1000.0)).await;
                 let takes = mail.post.borrow_mut().takes_in((mail.clock)(), to);
+                // Told first: its answer may be back before this goes on.
+                if takes {
+                    mail.told(from, to, true, &body);
+                }
                 let mut counts = mail.counts.borrow_mut();
                 if takes && mail.faces[from].try_send_to(&body, mail.real[to]).is_ok() {
                     counts.heard[to] += 1;
--- a/crates/faults/src/streams.rs
+++ b/crates/faults/src/streams.rs
@@ -161,22 +161,37 @@
 
 /// One connection: ends with either side.
 async fn carry(stream: TcpStream, target: SocketAddr, gate: Rc<Gate>) {
+    let held = gate.mute();
     gate.until(|g| !g.mute()).await;
     let Ok(onward) = TcpStream::connect(target).await else { return };
     let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
     let (from_limiter, to_limiter) = stream.into_split();
     let (from_server, to_server) = onward.into_split();
     tokio::select! {
-        () = pump(from_limiter, to_server, &gate, false) => {}
-        () = pump(from_server, to_limiter, &gate, true) => {}
+        () = pump(from_limiter, to_server, &gate, false, held) => {}
+        () = pump(from_server, to_limiter, &gate, true, false) => {}
     }
 }
 
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, gate: &Gate, answers: bool) {
+/// How long an end that came while a way was held takes to show.
+const END_SHOWS: Duration = Duration::from_millis(5);
+
+/// The sender has ended its connection behind what was read last.
+async fn gone(from: &mut OwnedReadHalf) -> bool {
+    let mut one = [0; 1];
+    matches!(tokio::time::timeout(END_SHOWS, from.peek(&mut one)).await, Ok(Ok(0) | Err(_)))
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, gate: &Gate, answers: bool, mut held: bool) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let Ok(read @ 1..) = from.read(&mut buffer).await else { return };
+        held |= gate.mute();
         gate.until(|g| !g.mute()).await;
+        // What its sender has called off meanwhile never comes: on a network the end would be right behind it.
+        if std::mem::take(&mut held) && gone(&mut from).await {
+            return;
+        }
         let takes_ms = gate.takes_ms(read, answers);
         if takes_ms > 0.0 {
             tokio::time::sleep(Duration::from_secs_f64(takes_ms / 1000.0)).await;
@@ -260,6 +275,27 @@
         });
     }
 
+    #[test]
+    fn what_is_called_off_while_a_way_is_mute_never_arrives() {
+        on_sockets(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let target = listener.local_addr().expect("an address");
+            let gate = Gate::new(draws::stream(1, "gate", 0));
+            let relay =
+                Relay::open("127.0.0.1:0".parse().expect("an address"), target, gate).await.expect("a relay");
+            let mut stream = TcpStream::connect(relay.addr).await.expect("a connection");
+            let (mut behind, _) = listener.accept().await.expect("passed on");
+            relay.gate.begins(0, Wrong::Mute);
+            stream.write_all(b"hello").await.expect("written");
+            drop(stream);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            relay.gate.ends(0);
+            let mut came = Vec::new();
+            let _ = behind.read_to_end(&mut came).await;
+            assert!(came.is_empty(), "{came:?}");
+        });
+    }
+
     #[test]
     fn what_breaks_off_lacks_its_last_byte() {
         on_sockets(async {
--- a/crates/rehearsal/src/observe.rs
+++ b/crates/rehearsal/src/observe.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use fawnhill::Millis;
+use fawnhill::{Millis, RequestId, Spoken};
 use serde::{Deserialize, Serialize};
 
 /// One thing that was seen from outside, or that a limiter told in its log.
@@ -22,6 +22,17 @@
         /// Its limiter was stopped, or starved, at some time since it took the try.
         stopped: bool,
     },
+    /// A datagram between limiters that the relay has taken from its sender, or given to its receiver.
+    Words {
+        /// Who sent it.
+        from: usize,
+        /// To whom.
+        to: usize,
+        /// It was given to its receiver; else taken from its sender.
+        given: bool,
+        /// What it says.
+        lines: &'a [Spoken],
+    },
     /// Once a second: what a node holds, and how many it can have in work.
     Load {
         /// Which node.
@@ -143,6 +154,50 @@
     }
 }
 
+/// Each question that reaches a keeper is answered once at most: what was asked before a partition is not answered again.
+#[derive(Default)]
+pub struct OneWordAnAsk {
+    /// By keeper, asker and request: questions that reached the keeper and are not answered yet, and when the last did.
+    asked: BTreeMap<(usize, usize, RequestId), (u32, Millis)>,
+    swept: Millis,
+}
+
+/// A question that is so old is answered no more: no request waits so long.
+const ASK_KEPT_MS: Millis = 60_000.0;
+
+impl Invariant for OneWordAnAsk {
+    fn name(&self) -> &'static str {
+        "each question is answered once"
+    }
+    fn see(&mut self, now: Millis, seen: &Seen<'_>) -> Option<String> {
+        let Seen::Words { from, to, given, lines } = seen else { return None };
+        let mut broken = None;
+        for line in *lines {
+            match line {
+                Spoken::Ask(id) if *given => {
+                    let asked = self.asked.entry((*to, *from, *id)).or_insert((0, now));
+                    *asked = (asked.0 + 1, now);
+                }
+                Spoken::Word(id) if !given => match self.asked.get_mut(&(*from, *to, *id)) {
+                    Some((waiting @ 1.., _)) => *waiting -= 1,
+                    _ => {
+                        let what = format!(
+                            "limiter {from} answers request {id} of limiter {to}, which asks nothing"
+                        );
+                        broken = Some(what);
+                    }
+                },
+                _ => {}
+            }
+        }
+        if now - self.swept > ASK_KEPT_MS {
+            self.swept = now;
+            self.asked.retain(|_, (_, at)| now - *at < ASK_KEPT_MS);
+        }
+        broken
+    }
+}
+
 /// At most one limiter acts for a duty under a number, and numbers never fall.
 #[derive(Default)]
 pub struct OneUnderANumber {
@@ -256,6 +311,22 @@
         assert!(bad[0].contains("both act under 4") && bad[1].contains("acts under 4 after"), "{bad:?}");
     }
 
+    #[test]
+    fn a_question_that_came_twice_may_be_answered_twice_and_no_more() {
+        let words = |at: Millis, from, to, given, lines| (at, Seen::Words { from, to, given, lines });
+        let (ask, word) = ([Spoken::Ask(7)], [Spoken::Word(7)]);
+        let good =
+            [words(0.0, 1, 2, true, &ask), words(1.0, 1, 2, true, &ask), words(2.0, 2, 1, false, &word)];
+        let mut judge = OneWordAnAsk::default();
+        assert!(told(&mut judge, &good).is_empty());
+        assert!(told(&mut judge, &[words(3.0, 2, 1, false, &word)]).is_empty());
+        assert_eq!(told(&mut judge, &[words(4.0, 2, 1, false, &word)]).len(), 1);
+        // A question that was lost on its way is no question.
+        let mut judge = OneWordAnAsk::default();
+        let lost = [words(0.0, 1, 2, false, &ask), words(1.0, 2, 1, false, &word)];
+        assert_eq!(told(&mut judge, &lost).len(), 1);
+    }
+
     #[test]
     fn parts_count_until_their_end_and_no_longer() {
         let holds = |at, limiter, part, until| {
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -27,6 +27,10 @@
 /// # Errors
 /// One plain line: what cannot be read, or listened on.
 pub fn run(extensions: Option<&Path>) -> Result<(), String> {
+    #[cfg(feature = "planted")]
+    fawnhill::planted::choose(
+        std::env::var("MARLDEAL_PLANTED").ok().and_then(|f| fawnhill::planted::Fault::named(&f)),
+    );
     let inherited = upgrade::inherit::listener()?;
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(serve(extensions, inherited))
--- /dev/null
+++ b/marldeal/tests/planted.rs
@@ -0,0 +1,105 @@
+//! Rules broken on purpose in the limiters' processes: each is found from outside within a stated number of seeds, and the
+//! seed finds it again. `cargo test -p marldeal --features planted --test planted`.
+#![cfg(feature = "planted")]
+
+use marldeal_faults::figures::Run;
+use marldeal_faults::processes::Program;
+use marldeal_faults::{ground, plans};
+use marldeal_rehearsal::scenario::{Repeats, Scenario};
+
+/// Seeds within which each fault has to be found.
+const SEEDS: u64 = 3;
+
+fn short(text: &str) -> Scenario {
+    Scenario::read(text).unwrap_or_else(|wrong| panic!("{wrong:?}"))
+}
+
+/// A plan that brings a fault out, and a word of what is said of it.
+fn plan(fault: &str) -> (Scenario, &'static str) {
+    match fault {
+        // The 500th request of a limiter is never answered.
+        "answer" => (short("seconds = 16\n[nodes]\ncount = 20\n[clients]\nload = 0.4\n"), "no answer by its deadline"),
+        "effect" => {
+            let mut scenario = short(
+                "seconds = 14\n[[timeline]]\nwhat = \"resets\"\nnodes = [1, 4]\nshare = 0.3\nat_s = 2\nfor_s = 10\n",
+            );
+            scenario.classes[1].repeats = Repeats::Unsafe;
+            (scenario, "sent again though it may have run")
+        }
+        "drain" => (
+            short("seconds = 14\n[[timeline]]\nwhat = \"drain\"\nnodes = [0, 3]\nafter_s = 8\nat_s = 2\nfor_s = 10\n"),
+            "after the notice",
+        ),
+        "cold" => (
+            short(
+                "seconds = 16\n[clients]\nload = 0.9\n[nodes]\ncold_share = 0.1\n\
+                 [[timeline]]\nwhat = \"exit\"\nnode_share = 0.5\nat_s = 3\nfor_s = 3\n",
+            ),
+            "pushed over while cold",
+        ),
+        "ceiling" => (
+            short("seconds = 16\n[[timeline]]\nwhat = \"flood\"\nfirms = 3\nshare = 2.0\nat_s = 2\nfor_s = 12\n"),
+            "past its ceiling",
+        ),
+        "thaw" => (
+            short(
+                "seconds = 16\n[limiters]\ncount = 5\n[clients]\nload = 0.5\n\
+                 [[timeline]]\nwhat = \"slow\"\nnode_share = 1.0\ntimes = 30\nat_s = 2\nfor_s = 10\n\
+                 [[timeline]]\nwhat = \"freeze\"\nlimiters = [0, 1]\nat_s = 5\nfor_s = 5\n",
+            ),
+            "which had been stopped",
+        ),
+        "echo" => (plans::find("third-cut-off").expect("a plan"), "which asks nothing"),
+        other => panic!("no plan for {other}"),
+    }
+}
+
+fn play(scenario: &Scenario, seed: u64, fault: Option<&str>) -> Run {
+    let variables = fault.map(|f| ("MARLDEAL_PLANTED".to_string(), f.to_string())).into_iter().collect();
+    let program = Program { path: env!("CARGO_BIN_EXE_marldeal").into(), variables };
+    ground::play(scenario, seed, &program, Vec::new(), |_| {}).unwrap_or_else(|why| panic!("{why}"))
+}
+
+fn says(run: &Run, word: &str) -> bool {
+    let rules = run.figures.broken.iter().map(|b| &b.what);
+    rules.chain(run.fleet.breaches.iter().map(|b| &b.what)).any(|what| what.contains(word))
+}
+
+fn is_found(fault: &str) {
+    let (scenario, word) = plan(fault);
+    let clean = play(&scenario, 1, None);
+    assert!(!says(&clean, word), "{fault}: found without it: {:?}", clean.first_broken());
+    let found = (1..=SEEDS).find(|seed| says(&play(&scenario, *seed, Some(fault)), word));
+    let seed = found.unwrap_or_else(|| panic!("{fault} is not found within {SEEDS} seeds"));
+    assert!(says(&play(&scenario, seed, Some(fault)), word), "{fault}: seed {seed} finds it again");
+    println!("{fault}: seed {seed}");
+}
+
+#[test]
+fn a_request_that_gets_no_answer() {
+    is_found("answer");
+}
+#[test]
+fn an_effect_that_happens_twice() {
+    is_found("effect");
+}
+#[test]
+fn a_drain_that_is_not_heeded() {
+    is_found("drain");
+}
+#[test]
+fn a_cold_node_that_is_pushed_over() {
+    is_found("cold");
+}
+#[test]
+fn a_ceiling_that_is_passed() {
+    is_found("ceiling");
+}
+#[test]
+fn one_that_sends_on_after_it_was_stopped_past_a_deadline() {
+    is_found("thaw");
+}
+#[test]
+fn one_that_answers_words_of_a_partition_it_has_left() {
+    is_found("echo");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,4 +52,5 @@
 
 pub use interface::*;
 pub use legal::mistakes;
+pub use message::{spoken, Spoken};
 pub use policy::Limiter;
--- a/src/message.rs
+++ b/src/message.rs
@@ -184,6 +184,28 @@
     Some((born, share, lines))
 }
 
+/// A line of a message as observers see it: whose request it is about is the asker's number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Spoken {
+    /// A member asks, or tells what it has spent.
+    Ask(RequestId),
+    /// A keeper answers.
+    Word(RequestId),
+    /// A member is done.
+    Done(RequestId),
+}
+
+/// What a datagram between limiters says; nothing if it is not one of ours in full.
+pub fn spoken(body: &[u8]) -> Option<Vec<Spoken>> {
+    let (_, _, lines) = read_message(body)?;
+    let say = |line: &Line| match line {
+        Line::Ask(a) => Spoken::Ask(a.id),
+        Line::Word(w) => Spoken::Word(w.id),
+        Line::Done(d) => Spoken::Done(d.id),
+    };
+    Some(lines.iter().map(say).collect())
+}
+
 /// Sum over all bytes but the checksum's own, each times its place.
 fn checksum(body: &[u8]) -> u16 {
     let counted = body.iter().zip(1u32..).filter(|(_, i)| *i != 2 && *i != 3);
--- a/src/planted.rs
+++ b/src/planted.rs
@@ -15,6 +15,26 @@
     Cold = 4,
     /// A keeper grants whatever is asked for under a ceiling (module).
     Ceiling = 5,
+    /// A limiter that was stopped past a deadline sends the request on when it goes on (engine).
+    Thaw = 6,
+    /// A limiter that hears a peer again after a silence hears what came before it once more (engine).
+    Echo = 7,
+}
+
+impl Fault {
+    /// By its name in small letters.
+    pub fn named(name: &str) -> Option<Fault> {
+        let all = [
+            Fault::Answer,
+            Fault::Effect,
+            Fault::Drain,
+            Fault::Cold,
+            Fault::Ceiling,
+            Fault::Thaw,
+            Fault::Echo,
+        ];
+        all.into_iter().find(|f| format!("{f:?}").eq_ignore_ascii_case(name))
+    }
 }
 
 #[cfg(feature = "planted")]
