What lay unread while the process stood still counts its time from then

Ruled out: the ground's own lateness (2 ms at the 99th percentile) and held relays (none in that plan). Change: crates/lifecycle/src/pauses.rs sees a pause on waking, by a timer that beat more than 300 ms late; what is read within 100 ms of that counts from the pause's beginning, and what has no time left is refused at once by the engine, unseen by the module. Planted faults reach processes' own guard of drains. Plan stopped-past-deadlines.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -77,7 +77,8 @@
     },
     /// The roster could not be asked for.
     ListFailed,
-    /// A request has come whole. Its `id` is not looked at: the engine gives it one.
+    /// A request has come whole. Its `id` is not looked at: the engine gives it one. One without any time left is refused
+    /// at once, and the module never hears of it.
     Request {
         /// Its name; a second request of that name is not taken while the first is open.
         name: Name,
@@ -280,7 +281,14 @@
         match input {
             Input::Servers { whole, entries } => self.roster(whole, entries),
             Input::ListFailed => self.events.push_back(Event::ListFailed),
-            Input::Request { name, request } => taken = self.take(now, name, request),
+            Input::Request { name, request } => {
+                let late = request.budget_ms <= 0.0;
+                taken = self.take(now, name, request);
+                // Its client's time is over, and nothing of it has gone out: to ask again does no harm.
+                if let Some(id) = taken.filter(|id| late && self.settle(*id, End::Declined)) {
+                    out.push(Output::Answer { id, answer: Answer::Refused { retry_ms: 0.0 } });
+                }
+            }
             Input::Ended { id, attempt, outcome, units, load } => {
                 self.ended(now, id, attempt, outcome, units, load, out);
             }
@@ -323,7 +331,7 @@
 
     /// Whether a server of the roster takes new work.
     pub fn takes(&self, server: &ServerId) -> bool {
-        self.servers.get(server).copied().unwrap_or(false)
+        self.servers.get(server).is_some_and(|takes| *takes || planted::is(Fault::Drain))
     }
 
     /// A server of the roster takes new work.
@@ -428,7 +436,9 @@
             },
         );
         self.timers.push(deadline, Due::Deadline(id));
-        self.events.push_back(Event::Request(request));
+        if request.budget_ms > 0.0 {
+            self.events.push_back(Event::Request(request));
+        }
         Some(id)
     }
 
@@ -564,7 +574,7 @@
     }
 
     fn send(&mut self, now: Millis, id: RequestId, server: ServerId, cap_ms: Millis, out: &mut Vec<Output>) {
-        let takes = self.takes(&server) || planted::is(Fault::Drain);
+        let takes = self.takes(&server);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts += 1;
--- a/crates/engine/src/tampered.rs
+++ b/crates/engine/src/tampered.rs
@@ -35,7 +35,7 @@
 
     /// A request that was stopped past its deadline is sent on.
     pub(crate) fn thaws(&self, now: Millis, id: RequestId) -> bool {
-        let stopped = || self.open.get(&id).is_some_and(|o| !o.out && now - o.deadline > STOPPED_MS);
+        let stopped = || self.open.get(&id).is_some_and(|o| now - o.deadline > STOPPED_MS);
         planted::is(Fault::Thaw) && stopped()
     }
 
--- a/crates/faults/src/plans.rs
+++ b/crates/faults/src/plans.rs
@@ -6,6 +6,7 @@
 pub const ALL: &[(&str, &str)] = &[
     ("calm", include_str!("../plans/calm.toml")),
     ("woken-together", include_str!("../plans/woken-together.toml")),
+    ("stopped-past-deadlines", include_str!("../plans/stopped-past-deadlines.toml")),
     ("one-way", include_str!("../plans/one-way.toml")),
     ("each-its-own-partition", include_str!("../plans/each-its-own-partition.toml")),
     ("twice-and-late", include_str!("../plans/twice-and-late.toml")),
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -24,6 +24,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod pauses;
 pub mod worth;
 
 use std::fmt;
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -14,6 +14,7 @@
 use marldeal_engine::ledger::Ledger;
 use marldeal_engine::{Engine, Input, Output};
 use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
+use marldeal_lifecycle::pauses::Pauses;
 use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
 use marldeal_outcomes::{Found, Question, Record};
 use marldeal_snapshot::{Belief, Grade, Snapshot};
@@ -189,6 +190,8 @@
     whole_wanted: Cell<bool>,
     told: Cell<bool>,
     life: RefCell<Lifecycle>,
+    /// Whether the process stood still of late.
+    pauses: RefCell<Pauses>,
     /// A command has changed the phase.
     pub phase_changed: Notify,
     reloads: Cell<Reloads>,
@@ -244,6 +247,7 @@
             whole_wanted: Cell::new(false),
             told: Cell::new(false),
             life: RefCell::new(life),
+            pauses: RefCell::default(),
             phase_changed: Notify::new(),
             reloads: Cell::default(),
             clock,
@@ -490,8 +494,13 @@
     pub fn request(
         self: &Rc<Self>,
         content: Content,
-        request: Request,
+        mut request: Request,
     ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        // Its client counts from when it was sent: while this process stood still, it may have lain here. The clock of
+        // one whose body is still to come has not begun.
+        if !matches!(content.body, Payload::Piped(_)) {
+            request.budget_ms -= self.pauses.borrow_mut().waited_ms(self.now());
+        }
         let mut state = self.state.borrow_mut();
         let name = content.correlation.as_bytes().into();
         let id = self.input(&mut state, Input::Request { name, request })?;
@@ -713,6 +722,7 @@
                 self.give(&mut state, external::Input::Due);
                 // Armed here already: what is due next is no news to this loop.
                 state.rearm();
+                self.pauses.borrow_mut().beat(self.now(), state.armed);
                 self.perform(&mut state, None);
                 state.armed.map(|at| self.clock.instant(at))
             };
--- a/marldeal/tests/faults.rs
+++ b/marldeal/tests/faults.rs
@@ -34,6 +34,12 @@
     assert!(run.figures.ends.in_time > 200, "{:?}", run.figures.ends);
 }
 
+/// It did without `lifecycle::pauses`: up to 1.9 s after the client's time.
+#[test]
+fn what_lay_unread_while_a_limiter_stood_still_is_not_sent_on_too_late() {
+    plan("stopped-past-deadlines");
+}
+
 #[test]
 fn some_are_heard_by_all_and_hear_nobody() {
     let words = plan("one-way").fleet.words;
