Rehearsal's planted faults name the two that only processes show

Cause: the match over planted faults in crates/rehearsal/tests/planted.rs did not know Thaw and Echo, so that ./test.sh failed at its last but one step; seen by running it whole. Change: both are named there as played by processes alone.

--- a/crates/rehearsal/tests/planted.rs
+++ b/crates/rehearsal/tests/planted.rs
@@ -25,6 +25,7 @@
             scenario.clients.load = 0.9;
             (scenario, Rule::Cold)
         }
+        Fault::Thaw | Fault::Echo => unreachable!("only processes show them (marldeal/tests/planted.rs)"),
         Fault::Ceiling => {
             let mut scenario = named("flood-by-three");
             scenario.timeline[0].share = Some(2.0);
