--- a/src/accounts.rs
+++ b/src/accounts.rs
@@ -6,9 +6,16 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Shares of a customer's ceiling that its keepers own, the first asked first. Fixed: no silence moves them;
-/// the first one's is near the whole quota, the others carry on while it is dead.
-pub(crate) const CEILING_PARTS: [f64; 3] = [0.62, 0.23, 0.15];
+/// Keepers of a customer.
+pub(crate) const KEEPERS: usize = 3;
+/// The first keeper owns this many times the quota's part of a ceiling, within these shares: what it grants beyond the
+/// quota is owed to nobody.
+const FIRST_ROOM: f64 = 1.05;
+const FIRST_PART: (f64, f64) = (0.3, 0.62);
+/// Shares of the rest that the other keepers own, who carry on while the first is dead, and that all members of the set
+/// own together, for the time in which they hear nobody. All sum to one.
+const OTHERS_PARTS: [f64; KEEPERS - 1] = [0.13, 0.07];
+const MEMBERS_PART: f64 = 0.8;
 /// Share of the quota that the others grant: the first one may be cut off from some members only.
 pub(crate) const BACKUP_PART: f64 = 0.5;
 /// Least and most milliseconds over which demand is smoothed, in between the time of a whole burst.
@@ -30,9 +37,31 @@
     }
 }
 
+/// Share of the ceiling that the first keeper owns. Fixed by the plan: no silence moves it.
+fn first_part(plan: &Plan) -> f64 {
+    let quota = (plan.rate / plan.ceiling_rate).max(plan.burst / plan.ceiling_burst);
+    (quota * FIRST_ROOM).max(FIRST_PART.0).min(FIRST_PART.1)
+}
+
 /// Share of the ceiling that a keeper of this rank owns.
-pub(crate) fn part(rank: u8) -> f64 {
-    CEILING_PARTS[usize::from(rank)]
+pub(crate) fn part(plan: &Plan, rank: u8) -> f64 {
+    let first = first_part(plan);
+    if rank == 0 {
+        first
+    } else {
+        (1.0 - first) * OTHERS_PARTS[usize::from(rank) - 1]
+    }
+}
+
+/// Rate and depth of a member's even part: of the quota, or under a ceiling of what its keepers leave to members.
+pub(crate) fn even(plan: &Plan, spread: u32) -> (f64, f64) {
+    let spread = f64::from(spread);
+    if plan.ceiling_rate > 0.0 {
+        let part = (1.0 - first_part(plan)) * MEMBERS_PART / spread;
+        (plan.ceiling_rate * part, plan.ceiling_burst * part)
+    } else {
+        (plan.rate / spread, plan.burst / spread)
+    }
 }
 
 /// When a store that lacks units is full again.
@@ -48,9 +77,9 @@
     /// When its even part is full again. A plan without a rate fills within an aim.
     pub(crate) fn full_at(&self, settings: &Settings) -> Millis {
         let plan = &settings.plans[usize::from(self.plan)];
-        let part = f64::from(self.spread).recip();
-        match plan.rate > 0.0 {
-            true => full_at(self.even.at, plan.burst * part - self.even.level, plan.rate * part),
+        let (rate, most) = even(plan, u32::from(self.spread));
+        match rate > 0.0 {
+            true => full_at(self.even.at, most - self.even.level, rate),
             false => self.even.at + settings.longest_ms(),
         }
     }
@@ -60,7 +89,7 @@
     /// Brings the stores and rates to `now`, as a keeper of this rank owns them.
     pub(crate) fn refresh(&mut self, now: Millis, plan: &Plan, rank: u8, born: Millis) {
         let past_s = |from: Millis| (now - from).max(0.0) / 1000.0;
-        let (share, part) = (share(rank), part(self.rank));
+        let (share, part) = (share(rank), part(plan, self.rank));
         self.store = (self.store + plan.rate * share * past_s(self.at)).min(plan.burst * share);
         let fills = past_s(self.at.max(born + GRANT_MS));
         self.ceiling =
@@ -83,7 +112,7 @@
 
     /// When its store and its part of the ceiling are full again.
     pub(crate) fn full_at(&self, plan: &Plan, born: Millis) -> (Millis, Millis) {
-        let (share, part) = (share(self.rank), part(self.rank));
+        let (share, part) = (share(self.rank), part(plan, self.rank));
         let store = full_at(self.at, plan.burst * share - self.store, plan.rate * share);
         let lacking = plan.ceiling_burst * part - self.ceiling;
         let ceiling = full_at(self.at.max(born + GRANT_MS), lacking, plan.ceiling_rate * part);
@@ -130,6 +159,22 @@
 
     use super::*;
 
+    /// For any ceiling the parts sum to the whole, and the first keeper's covers the quota where that leaves the others any.
+    #[test]
+    fn parts_of_a_ceiling_sum_to_the_whole() {
+        for times in [1.0, 1.5, 1.8, 2.6, 10.0] {
+            let (rate, burst) = (20.0, 30.0);
+            let (ceiling_rate, ceiling_burst) = (rate * times, burst * times);
+            let plan = Plan { rate, burst, open: 0, ceiling_rate, ceiling_burst, ceiling_slack: 4.0 };
+            let keepers: f64 = (0..KEEPERS as u8).map(|rank| part(&plan, rank)).sum();
+            let (member_rate, member_burst) = even(&plan, 40);
+            let sum = |whole: f64, member: f64| keepers + 40.0 * member / whole;
+            assert!((sum(ceiling_rate, member_rate) - 1.0).abs() < 1e-9, "{times}");
+            assert!((sum(ceiling_burst, member_burst) - 1.0).abs() < 1e-9, "{times}");
+            assert!(times < 1.8 || part(&plan, 0) * ceiling_rate >= rate, "{times}");
+        }
+    }
+
     /// All that grows with the number of customers, at sizes just under, at and just over a power of two.
     #[test]
     fn a_customer_takes_no_more_than_is_stated() {
--- a/src/firms.rs
+++ b/src/firms.rs
@@ -6,7 +6,7 @@
 
 use marldeal_firms::Fate;
 
-use crate::accounts::{owed_s, part, share, CEILING_PARTS, FIRMS_A_CELL, GRANT_MS};
+use crate::accounts::{even, owed_s, part, share, FIRMS_A_CELL, GRANT_MS, KEEPERS};
 use crate::interface::*;
 use crate::message::Ask;
 use crate::state::*;
@@ -116,10 +116,14 @@
 
     fn fresh_customer(&self, request: &Request) -> Customer {
         let plan = &self.settings.plans[request.plan];
-        let part = f64::from(request.spread).recip();
+        let (rate, most) = even(plan, request.spread);
         let owed_s = owed_s(self.owed.evens.owed_until(&(request.customer, request.plan as u8)), self.now);
-        let rate = if plan.rate > 0.0 { plan.rate * part } else { f64::INFINITY };
-        let whole = (plan.burst * part).max(request.units);
+        let rate = if rate > 0.0 { rate } else { f64::INFINITY };
+        // Of a ceiling as if spent at the start: an earlier start of this limiter may have spent it.
+        let whole = match plan.ceiling_rate > 0.0 {
+            true => most.min(rate * (self.now - self.born) / 1000.0),
+            false => most.max(request.units),
+        };
         let level = if owed_s > 0.0 { (whole - rate * owed_s).max(0.0) } else { whole };
         Customer {
             even: Store { level, at: self.now },
@@ -136,9 +140,7 @@
     pub(crate) fn rank(&self, ask: &Ask) -> Option<u8> {
         let (n, me) = (self.settings.limiters, self.settings.position);
         let set = (ask.first.into(), ask.spread.into());
-        (0..CEILING_PARTS.len() as u32)
-            .find(|k| keeper(ask.customer, set, n, *k) == Some(me))
-            .map(|k| k as u8)
+        (0..KEEPERS as u32).find(|k| keeper(ask.customer, set, n, *k) == Some(me)).map(|k| k as u8)
     }
 
     /// A keeper's account of one not remembered. The part of the ceiling starts as if spent and fills only
@@ -146,7 +148,7 @@
     /// from before it was forgotten is taken off both, down to the lowest that they can have been.
     pub(crate) fn fresh_account(&self, ask: &Ask, rank: u8) -> Account {
         let plan = &self.settings.plans[usize::from(ask.plan)];
-        let (share, part, key) = (share(rank), part(rank), (ask.customer, ask.plan));
+        let (share, part, key) = (share(rank), part(plan, rank), (ask.customer, ask.plan));
         let (most, lowest) = (plan.ceiling_burst * part, -plan.ceiling_slack * part);
         let filled_s = (self.now - self.born - GRANT_MS).max(0.0) / 1000.0;
         let filled = (lowest + plan.ceiling_rate * part * filled_s).min(most);
@@ -260,7 +262,7 @@
     rank: u32,
 ) -> Option<u32> {
     let spread = spread.clamp(1, limiters);
-    let keepers = (CEILING_PARTS.len() as u32).min(spread);
+    let keepers = (KEEPERS as u32).min(spread);
     // Fibonacci hashing: customers fall evenly on their sets.
     let hash = (customer.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32;
     let place = (hash % spread + rank * (spread / keepers)) % spread;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,7 @@
 
 use marldeal_firms::Fate;
 
-use crate::accounts::{CEILING_PARTS, GRANT_MS};
+use crate::accounts::{even, part, GRANT_MS};
 use crate::firms::{keeper, most, MOST_TERMS, TOLD_MS};
 use crate::interface::*;
 use crate::legal::check;
@@ -526,7 +526,7 @@
     }
 
     /// Spends from a part owned here while the first keeper's store has room, and tells it: to wait for its
-    /// word would only cost time. The part is the even one, and under a ceiling also the one kept here.
+    /// word would only cost time. The part is the even one, under a ceiling that of the ceiling.
     fn spend(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).map(|open| open.request.clone()) else { return };
         let (me, plan) = (self.settings.position, &self.settings.plans[request.plan]);
@@ -534,23 +534,18 @@
         let Some(first) = first.filter(|k| *k != me && self.settings.may_tell && plan.open == 0) else {
             return self.ask(id, out);
         };
-        let (now, units, ceiled) = (self.now, request.units, plan.ceiling_rate > 0.0);
-        let (part, least) = (f64::from(request.spread).recip(), plan.burst * ROOM_PART);
+        let (units, (rate, most)) = (request.units, even(plan, request.spread));
+        let least = plan.burst * ROOM_PART;
         let Some(c) = self.customers.get_mut(&request.customer) else { return };
-        c.even.fill(now, plan.rate * part, (plan.burst * part).max(units));
+        c.even.fill(self.now, rate, if plan.ceiling_rate > 0.0 { most } else { most.max(units) });
         // A part that never holds such a request is none: a hundred members would each let one through.
-        let own = plan.burst * part >= units && c.even.level >= units;
+        let own = most >= units && c.even.level >= units;
         let (room, usual) = (own && c.room - units >= least, c.known);
         let mut line = self.ask_of(&request);
         // What cannot be told is not spent unasked: its keeper would grant the same units again.
-        if !room
-            || !self.may_post(first, &Line::Ask(line), usual)
-            || (ceiled && !self.judge(me, self.incarnation, &line).is_some_and(|word| word.granted))
-        {
+        if !room || !self.may_post(first, &Line::Ask(line), usual) {
             return self.ask(id, out);
         }
-        // The first keeper hears of the end; this one has nothing more to do with it.
-        self.grants.remove(&(me, self.incarnation, id));
         if let Some(c) = self.customers.get_mut(&request.customer) {
             (c.even.level, c.room) = (c.even.level - units, c.room - units);
         }
@@ -592,7 +587,10 @@
             let ask = self.ask_of(request);
             let usual = self.customers.get(&request.customer).is_some_and(|c| c.known);
             if keeper == self.settings.position {
-                if let Some(word) = self.judge(keeper, self.incarnation, &ask) {
+                // A later keeper's part of a ceiling is small, and it is a member too.
+                let last = open.rank == 0 || self.settings.plans[request.plan].ceiling_rate <= 0.0;
+                let word = self.judge(keeper, self.incarnation, &ask);
+                if let Some(word) = word.filter(|word| word.granted || last) {
                     return self.on_word(keeper, &word, out);
                 }
             } else if self.settings.may_tell
@@ -655,22 +653,27 @@
     }
 
     /// No keeper answers: the even part of rate and burst, one request at least; under a cap on attempts out
-    /// alone, its even part in the time of one aim. Nobody but the keepers owns a part of a ceiling, so that
-    /// such a customer is refused.
+    /// alone, its even part in the time of one aim. A member's part of a ceiling may be less than one request:
+    /// then it is spent on the chance that it makes of one, so that the members' parts are not passed on the
+    /// whole, however many ask at once (randomised rounding).
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let chance = self.rng.f64();
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
         let plan = &self.settings.plans[request.plan];
         let Some(c) = self.customers.get_mut(&request.customer) else { return };
-        let most = if plan.rate > 0.0 { plan.burst } else { f64::from(plan.open) * units };
-        let aim_s = self.settings.classes[request.class].aim_ms / 1000.0;
-        let rate = if plan.rate > 0.0 { plan.rate } else { most / aim_s };
-        let part = f64::from(request.spread).recip();
-        c.even.fill(self.now, rate * part, (most * part).max(units));
-        if plan.ceiling_rate > 0.0 || c.even.level < units {
+        let ceiled = plan.ceiling_rate > 0.0;
+        let (mut rate, mut most) = even(plan, request.spread);
+        if rate <= 0.0 {
+            most = f64::from(plan.open) * units / f64::from(request.spread);
+            rate = most * 1000.0 / self.settings.classes[request.class].aim_ms;
+        }
+        c.even.fill(self.now, rate, if ceiled { most } else { most.max(units) });
+        let enough = c.even.level >= units || (ceiled && chance * units < c.even.level);
+        c.even.level = if enough || ceiled { (c.even.level - units).max(0.0) } else { c.even.level };
+        if !enough {
             return self.end(id, out);
         }
-        c.even.level -= units;
         open.let_in = self.now;
         self.dispatch(id, out);
     }
@@ -707,7 +710,7 @@
         let inside = plan.rate <= 0.0 || a.store >= units;
         let room = plan.open == 0 || (a.open < plan.open && recorded && opened.len() < MOST_TERMS);
         let ceiled = plan.ceiling_rate > 0.0;
-        let lowest = -plan.ceiling_slack * CEILING_PARTS[usize::from(a.rank)];
+        let lowest = -plan.ceiling_slack * part(&plan, a.rank);
         let under = !ceiled || (recorded && lent.len() < MOST_TERMS && a.ceiling - units >= lowest);
         // What a member has spent takes its units in any case, but from the quota alone: it had its own part
         // of the ceiling.
--- a/src/state.rs
+++ b/src/state.rs
@@ -161,8 +161,11 @@
             lent: VecDeque::new(),
             opened: VecDeque::new(),
             allowance: BTreeMap::new(),
+            // Limiters that were given one seed must not draw alike: what each lets in by chance sums up.
+            rng: fastrand::Rng::with_seed(
+                seed ^ u64::from(settings.position).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            ),
             settings,
-            rng: fastrand::Rng::with_seed(seed),
             now,
             born: now,
             incarnation: now as u64 as u32,
