--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -217,7 +217,7 @@
         let asks = |rig: &mut Rig| {
             let mut out = rig.ask(Request { spread: 12, customer, ..request(1, SAFE, CEILED) });
             out.extend(rig.pass(600.0));
-            sent(&out).len()
+            usize::from(!sent(&out).is_empty())
         };
         let mut old = Rig::new(member(), 3);
         old.pass(20_000.0);
@@ -236,7 +236,7 @@
     let of = |same, known| (1..=40u64).map(|n| let_in(same, known, n << 32)).sum::<usize>();
     let (stopped, runs, unknown) = (of(true, true), of(false, true), of(true, false));
     // Of a quarter of the customers it is a keeper, whose own part goes over with its account or is kept by birth.
-    assert!(stopped >= 36 && runs <= 10 && unknown <= 20, "{stopped}, {runs}, {unknown} of 40");
+    assert!(stopped >= 36 && runs <= 5 && unknown <= 10, "{stopped}, {runs}, {unknown} of 40");
 }
 
 /// Kiln-booking-later: a limiter that goes on after a stall finds a backlog of asks that nobody waits for.
