--- a/src/policy.rs
+++ b/src/policy.rs
@@ -653,7 +653,7 @@
     }
 
     /// No keeper answers: the even part of rate and burst, one request at least; under a cap on attempts out
-    /// alone, its even part in the time of one aim. A member's part of a ceiling may be less than one request:
+    /// alone, its even part in the time of one aim. A member's part of a ceiling may be less than a request:
     /// then it is spent on the chance that it makes of one, so that the members' parts are not passed on the
     /// whole, however many ask at once (randomised rounding).
     fn by_even_part(&mut self, id: RequestId, out: &mut Vec<Action>) {
