Watches: what an agent swallowed, trickles or indents is no longer waited for

Seen by reading and confirmed by tests on sockets that failed before: `upstream/discovery.rs` waited 4.5 s for one call that an agent had swallowed before its return, though what it has counts as told from that moment (the test found no second call in 2.5 s); its waits between calls grew to 1.5 s also where watches had merely been quiet (1.47 s seen); a watch on which bytes trickle and end no line was never silent (none anew in 10 s); a list over many lines was given up at its first line, again and again ("waited in vain for the indented list"). A wish for the list was one flag, and a word on a Notify that nobody heard while a watch was being connected.

Change: when a watch is opened, given up and opened anew is decided in `upstream/resumption.rs`, without I/O, the time an argument; an agent is called again every quarter of the grace for drains (`DrainGraceMs` of the settings, 1 s where they name none), eight calls at most beside one another. Silence counts from the last whole word, 3 s. `framing.rs` cuts lists by their braces, split at any byte. Wishes are a counter that each watch compares. A shared registry is asked within 2 s after a watch fell silent, at a new place too.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -19,7 +19,7 @@
 use marldeal_outcomes::{Found, Question, Record};
 use marldeal_snapshot::{Belief, Grade, Snapshot};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tracing::info;
 
 use crate::payload::{Payload, Piece};
@@ -185,9 +185,8 @@
     pub config: Arc<Config>,
     /// Where the list of servers comes from.
     pub sources: Sources,
-    /// The module wants the list: ends the watch's waiting.
-    pub list_wanted: Notify,
-    whole_wanted: Cell<bool>,
+    /// The module wants the list anew; how often it has asked for all of it. Each watch hears of it, whatever it is at.
+    pub list_wanted: watch::Sender<u64>,
     told: Cell<bool>,
     life: RefCell<Lifecycle>,
     /// Whether the process stood still of late.
@@ -243,8 +242,7 @@
             sources: Sources::new(config.discovery),
             bodies: Budget::new(config.most_body_bytes),
             config,
-            list_wanted: Notify::new(),
-            whole_wanted: Cell::new(false),
+            list_wanted: watch::Sender::new(0),
             told: Cell::new(false),
             life: RefCell::new(life),
             pauses: RefCell::default(),
@@ -425,11 +423,6 @@
         }
     }
 
-    /// Whether the module asked for the whole list; asked once.
-    pub fn take_whole_wanted(&self) -> bool {
-        self.whole_wanted.replace(false)
-    }
-
     /// A peer has told something.
     pub fn heard(self: &Rc<Self>, from: u32, body: Vec<u8>) {
         let mut state = self.state.borrow_mut();
@@ -689,11 +682,8 @@
                 }
                 Output::Tell { to, body } => self.tell(to, &body),
                 Output::CloseIdle { server } => self.upstream.close_idle(&server),
-                Output::Watch => self.list_wanted.notify_waiters(),
-                Output::FetchList => {
-                    self.whole_wanted.set(true);
-                    self.list_wanted.notify_waiters();
-                }
+                Output::Watch => self.list_wanted.send_modify(|_| {}),
+                Output::FetchList => self.list_wanted.send_modify(|times| *times += 1),
                 Output::Log(line) => info!("{line}"),
             }
         }
--- a/marldeal/src/settings/config.rs
+++ b/marldeal/src/settings/config.rs
@@ -70,6 +70,8 @@
     pub known: Option<List>,
     /// Milliseconds after which an idle connection to a server is dropped.
     pub idle_ms: f64,
+    /// Nothing new goes to a server for longer after the agent has been told that it drains, in milliseconds.
+    pub drain_grace_ms: f64,
     /// How long the steps of a drain and of an end last.
     pub times: Times,
     /// Most units that one request may ask for.
@@ -87,6 +89,8 @@
 const IDLE_PART: f64 = 0.5;
 /// A server's idle time where the settings name none.
 const IDLE_MS: f64 = 10_000.0;
+/// The grace for drains where the settings name none.
+const DRAIN_GRACE_MS: f64 = 1000.0;
 /// Most units of a request where the settings name none.
 const MOST_UNITS: f64 = 1000.0;
 /// Memory that a client's connection may hold at most (a head, an answer's piece) and a server's (a read buffer, a piece),
@@ -201,6 +205,10 @@
         if !server_idle.is_finite() || server_idle < 0.0 {
             found.push(wrong("settings.Bounds.IdleCloseMs", format!("{server_idle} is not a time")));
         }
+        let drain_grace_ms = file.settings.obligations.drain_grace_ms.unwrap_or(DRAIN_GRACE_MS);
+        if !drain_grace_ms.is_finite() || drain_grace_ms < 0.0 {
+            found.push(wrong("settings.Obligations.DrainGraceMs", format!("{drain_grace_ms} is not a time")));
+        }
         let times = Times { serve_ms: drain_ms(&file.settings), ..Times::default() };
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let (memory_mb, sockets) = (file.limits.memory_mb, file.limits.sockets);
@@ -243,6 +251,7 @@
             peers_all: file.peers_all,
             known: file.known,
             idle_ms: server_idle * IDLE_PART,
+            drain_grace_ms,
             times,
             most_units,
             settings,
--- a/marldeal/src/upstream/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -1,26 +1,24 @@
-//! The watch on the list of servers.
+//! The watch on the list of servers: carries out what [`Resumption`] decides.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::task::{AbortHandle, JoinSet};
 use tracing::info;
 
 use crate::driver::Driver;
 use crate::settings::roster::{news, List};
-use crate::upstream::asking::{self, Asking};
-
-/// Beats come every 2 s; after two missed ones the watch counts as broken.
-const SILENCE: Duration = Duration::from_millis(4500);
-/// Longest line taken in.
-const MOST_LINE: usize = 4 << 20;
+use crate::upstream::asking::Asking;
+use crate::upstream::framing::{Word, Words};
+use crate::upstream::resumption::{Call, Millis, Resumption, Step, Whom};
 
 /// One source and how far its versions are known: those of another source say nothing here.
 struct Source {
@@ -34,11 +32,6 @@
 /// not heard.
 pub async fn watch(driver: Rc<Driver>) {
     let mut version = driver.config.known.as_ref().map(|known| known.version);
-    // What was known last serves until this limiter's turn comes; with nothing known there is nothing to wait with.
-    let mut asking = asking(&driver, 0);
-    if version.is_some() {
-        tokio::time::sleep(asking.first()).await;
-    }
     loop {
         let sources = &driver.sources;
         let source =
@@ -48,66 +41,26 @@
     }
 }
 
-fn asking(driver: &Driver, stream: u64) -> Asking {
+/// How a source is asked, and how long the first call waits.
+fn resumption(driver: &Driver, source: &Source) -> Resumption {
     let settings = &driver.config.settings;
-    let source = match settings.must_subscribe {
-        true => asking::Source::Shared { limiters: settings.limiters },
-        false => asking::Source::Agent,
-    };
-    Asking::new(source, driver.config.seed ^ stream.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-}
-
-/// Keeps one source watched; a watch that ends, breaks or falls silent is begun anew from the last version,
-/// unless there is a newer source by then.
-async fn keep(driver: Rc<Driver>, mut source: Source) {
-    let mut asking = asking(&driver, u64::from(source.number) + 1);
-    loop {
-        let before = source.version;
-        let why = follow(&driver, &mut source).await;
-        if driver.sources.newest.get() != source.number {
-            return info!("discovery: {why}; {} is watched no more", source.addr);
-        }
-        let wait = asking.again(source.version != before);
-        info!("discovery: {why}; watching again in {} ms", wait.as_millis());
-        tokio::select! {
-            () = tokio::time::sleep(wait) => {}
-            () = driver.list_wanted.notified() => {}
-        }
-        if driver.take_whole_wanted() {
-            source.version = None;
-        }
+    if !settings.must_subscribe {
+        return Resumption::new(Whom::agent(driver.config.drain_grace_ms), 0.0, 0.0);
     }
-}
-
-/// One watch, until it ends; says why.
-async fn follow(driver: &Rc<Driver>, source: &mut Source) -> String {
-    let connect = async {
-        let stream = TcpStream::connect(source.addr).await.map_err(|e| e.to_string())?;
-        let (mut sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
-        let task = Abort(tokio::task::spawn_local(async move { drop(connection.await) }));
-        let path = match source.version {
-            Some(v) => format!("/api/targets?watch=1&after={v}"),
-            None => "/api/targets?watch=1".to_string(),
-        };
-        let request = hyper::Request::get(path)
-            .header("host", source.addr.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(|e| e.to_string())?;
-        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
-        if answer.status() != hyper::StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
-        }
-        Ok((task, answer.into_body()))
+    let seed = driver.config.seed ^ u64::from(source.number).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut asking = Asking::new(settings.limiters, seed);
+    // What was known last serves until this limiter's turn comes; with nothing known there is nothing to wait with. A
+    // new place is asked by all soon.
+    let wait = match (source.version, source.number) {
+        (Some(_), 0) => asking.first(),
+        (None, 0) => Duration::ZERO,
+        _ => asking.urgent(),
     };
-    match timeout(SILENCE, connect).await {
-        Ok(Ok((_task, body))) => read(driver, body, source).await,
-        Ok(Err(why)) => why,
-        Err(_) => "no answer".to_string(),
-    }
+    Resumption::new(Whom::Registry(asking), 0.0, wait.as_secs_f64() * 1000.0)
 }
 
-struct Abort(tokio::task::JoinHandle<()>);
+/// Ends a connection's task when it is dropped.
+struct Abort(AbortHandle);
 
 impl Drop for Abort {
     fn drop(&mut self) {
@@ -115,46 +68,144 @@
     }
 }
 
-async fn read(driver: &Rc<Driver>, mut body: Incoming, source: &mut Source) -> String {
-    let mut buffer = BytesMut::new();
+/// An answered call.
+struct Watch {
+    call: Call,
+    body: Incoming,
+    words: Words,
+    _connection: Abort,
+}
+
+/// Keeps one source watched from the last version on. The one that serves no more is left when its watch ends, or when a
+/// newer one has told its list.
+async fn keep(driver: Rc<Driver>, mut source: Source) {
+    let began = Instant::now();
+    let now = || began.elapsed().as_secs_f64() * 1000.0;
+    let mut machine = resumption(&driver, &source);
+    let mut wishes = driver.list_wanted.subscribe();
+    let mut whole = *wishes.borrow();
+    let mut calls = JoinSet::new();
+    let mut waiting: HashMap<Call, AbortHandle> = HashMap::new();
+    let mut watch: Option<Watch> = None;
+    let mut said = String::new();
     loop {
-        let frame = tokio::select! {
-            frame = timeout(SILENCE, body.frame()) => frame,
-            () = driver.list_wanted.notified() => return "asked for anew".to_string(),
-        };
-        let frame = match frame {
-            Err(_) => return "silent".to_string(),
-            Ok(None) => return "ended".to_string(),
-            Ok(Some(Err(e))) => return e.to_string(),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        if driver.sources.told.get() > source.number {
-            return "another source speaks".to_string();
+        while let Some(step) = machine.step(now()) {
+            match step {
+                Step::Begin(call) => {
+                    let asks = ask(source.addr, source.version);
+                    waiting.insert(call, calls.spawn_local(async move { (call, asks.await) }));
+                }
+                Step::Close(call, why) => {
+                    waiting.remove(&call).inspect(AbortHandle::abort);
+                    if watch.take_if(|w| w.call == call).is_some() {
+                        info!("discovery: {why}; watching again");
+                    }
+                }
+            }
         }
-        let Some(data) = frame.data_ref() else { continue };
-        // A chunk may end within a line: what is left waits for the rest.
-        let mut from = buffer.len();
-        buffer.extend_from_slice(data);
-        while let Some(end) = buffer[from..].iter().position(|b| *b == b'\n') {
-            let line = buffer.split_to(from + end + 1);
-            from = 0;
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
+        let due = began + Duration::from_secs_f64(machine.due().clamp(0.0, 1e9) / 1000.0);
+        // What has come goes before what is due: after a pause, what waited here must not be taken for silence.
+        let why = tokio::select! {
+            biased;
+            frame = frame(&mut watch) => match frame {
+                _ if driver.sources.told.get() > source.number => None,
+                Ok(bytes) => hear(&driver, &mut source, &mut watch, &mut machine, &bytes, now()).err(),
+                Err(why) => Some(why),
+            },
+            Some(done) = calls.join_next(), if !calls.is_empty() => {
+                // One that was called off is out of the machine already.
+                let Ok((call, answer)) = done else { continue };
+                waiting.remove(&call);
+                match answer {
+                    Ok((connection, body)) => {
+                        if machine.answered(now(), call) {
+                            said.clear();
+                            watch = Some(Watch { call, body, words: Words::default(), _connection: connection });
+                        }
+                    }
+                    Err(why) => {
+                        machine.ended(now(), call);
+                        if why != said {
+                            info!("discovery: {why}; tried again");
+                        }
+                        said = why;
+                    }
+                }
+                None
             }
-            match serde_json::from_slice::<List>(&line) {
-                Ok(list) => {
-                    source.version = Some(list.version);
-                    driver.sources.told.set(source.number);
-                    let (news, notes) = news(list, &driver.config.names);
-                    notes.iter().for_each(|note| info!("{note}"));
-                    driver.servers(news);
+            Ok(()) = wishes.changed() => {
+                let wanted = *wishes.borrow_and_update();
+                if std::mem::replace(&mut whole, wanted) != wanted {
+                    source.version = None;
                 }
-                // What the line held is missing from now on: the watch begins anew where it was still whole.
-                Err(e) => return format!("bad line: {e}"),
+                watch = None;
+                machine.anew(now()).iter().for_each(|call| drop(waiting.remove(call).inspect(AbortHandle::abort)));
+                None
             }
+            () = tokio::time::sleep_until(due.into()) => None,
+        };
+        if driver.sources.told.get() > source.number {
+            return info!("discovery: another source speaks; {} is watched no more", source.addr);
         }
-        if buffer.len() > MOST_LINE {
-            return "line too long".to_string();
+        if let Some(why) = why {
+            info!("discovery: {why}; watching again");
+            watch.take().into_iter().for_each(|w| machine.ended(now(), w.call));
         }
     }
 }
+
+/// What comes next on the watch; nothing ever while there is none.
+async fn frame(watch: &mut Option<Watch>) -> Result<Bytes, String> {
+    let Some(watch) = watch else { return std::future::pending().await };
+    match watch.body.frame().await {
+        None => Err("ended".to_string()),
+        Some(Err(e)) => Err(e.to_string()),
+        Some(Ok(frame)) => Ok(frame.into_data().unwrap_or_default()),
+    }
+}
+
+/// Takes in what has come on the watch.
+fn hear(
+    driver: &Rc<Driver>,
+    source: &mut Source,
+    watch: &mut Option<Watch>,
+    machine: &mut Resumption,
+    bytes: &[u8],
+    now: Millis,
+) -> Result<(), String> {
+    let Some(watch) = watch else { return Ok(()) };
+    watch.words.push(bytes);
+    while let Some(word) = watch.words.take()? {
+        machine.heard(now, word != Word::Beat);
+        let Word::List(bytes) = word else { continue };
+        // What a bad one held is missing from now on: the watch begins anew where it was still whole.
+        let list = serde_json::from_slice::<List>(&bytes).map_err(|e| format!("bad line: {e}"))?;
+        source.version = Some(list.version);
+        driver.sources.told.set(source.number);
+        let (news, notes) = news(list, &driver.config.names);
+        notes.iter().for_each(|note| info!("{note}"));
+        driver.servers(news);
+    }
+    Ok(())
+}
+
+/// One call, until its answer begins.
+async fn ask(addr: SocketAddr, after: Option<u64>) -> Result<(Abort, Incoming), String> {
+    let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let task = tokio::task::spawn_local(async move { drop(connection.await) });
+    let task = Abort(task.abort_handle());
+    let path = match after {
+        Some(v) => format!("/api/targets?watch=1&after={v}"),
+        None => "/api/targets?watch=1".to_string(),
+    };
+    let request = hyper::Request::get(path)
+        .header("host", addr.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    if answer.status() != hyper::StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    Ok((task, answer.into_body()))
+}
--- a/marldeal/src/upstream/mod.rs
+++ b/marldeal/src/upstream/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod asking;
 pub mod discovery;
+pub mod framing;
+pub mod resumption;
 pub mod servers;
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -134,6 +134,45 @@
     (server, release)
 }
 
+/// The program with a discovery of the test's own: a raw listener, that may also say nothing.
+pub struct Bare {
+    pub addr: SocketAddr,
+    process: Process,
+    config: PathBuf,
+}
+
+impl Bare {
+    /// Returns once it listens, ready or not.
+    pub fn start(discovery: SocketAddr, alter: impl Fn(String) -> String) -> Bare {
+        let config = write_config(&alter(self::config(discovery)));
+        let process = Process::start(&mut command(&config, 1024));
+        process.wait_log("serves on ");
+        Bare { addr: process.listens("serves on "), process, config }
+    }
+    pub fn ask(&self, request: &str) -> Message {
+        exchange(&mut TcpStream::connect(self.addr).expect("connect"), request)
+    }
+}
+
+impl std::ops::Deref for Bare {
+    type Target = Process;
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl std::ops::DerefMut for Bare {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
+}
+
+impl Drop for Bare {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
 /// The configuration that all tests begin with.
 pub fn config(discovery: SocketAddr) -> String {
     CONFIG.replace("DISCOVERY", &discovery.to_string())
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -244,6 +244,8 @@
     pub cold_ms: f64,
     pub fall_multiple: f64,
     pub tip_after_ms: f64,
+    /// Nothing new goes to a server that drains after this time; absent where the settings do not say.
+    pub drain_grace_ms: Option<f64>,
 }
 
 /// The service's own settings.
