The end and the start: late connections refused not reset, no answer after SIGKILL, no old list

Seen by reading and confirmed by tests on sockets that failed before: - 0.6 s after SIGTERM new connections were left in the listener's queue and reset when the process ended (`front/clients.rs`, `listener = None`), requests written to them with them; a client whose request crosses the close of its kept connection comes again on just such a one. Now at most 16 at a time are accepted and refused at once, with advice where the settings allow it, until 0.1 s after the last answer.

Measured: three new tests pass, the package's sockets, management, modes and upgrade tests pass; on the program before the first two fail (waited in vain; 8.99 s).

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -98,11 +98,20 @@
     pub serve_ms: Millis,
     /// After a stop nothing is waited for any longer.
     pub most_ms: Millis,
+    /// The platform ends the process so long after a stop at the earliest, less what an answer needs to be written; infinite
+    /// where the settings do not tell.
+    pub killed_ms: Millis,
 }
 
 impl Default for Times {
     fn default() -> Times {
-        Times { front_ms: 600.0, standby_idle_ms: 1000.0, serve_ms: 600.0, most_ms: 20_000.0 }
+        Times {
+            front_ms: 600.0,
+            standby_idle_ms: 1000.0,
+            serve_ms: 600.0,
+            most_ms: 20_000.0,
+            killed_ms: f64::INFINITY,
+        }
     }
 }
 
@@ -192,6 +201,20 @@
         }
     }
 
+    /// New connections are turned away: what they ask is refused at once, so that no request in the queue of connections ends
+    /// in a reset, and they take no place for longer than that.
+    pub fn turns_away(&self, now: Millis) -> bool {
+        self.phase == Phase::Stopping && !self.accepts(now)
+    }
+
+    /// How long an answer may still take before the process may be ended from outside; infinite while it is not to end.
+    pub fn left_ms(&self, now: Millis) -> Millis {
+        match self.phase {
+            Phase::Stopping => (self.since + self.times.killed_ms - now).max(0.0),
+            _ => f64::INFINITY,
+        }
+    }
+
     /// A connection stays open after an answer.
     pub fn keeps_alive(&self, now: Millis) -> bool {
         match self.phase {
@@ -281,6 +304,17 @@
         assert!(life.keeps_alive(2399.0) && !life.closes_idle(2399.0) && life.closes_idle(2400.0));
     }
 
+    /// Guards against what lies in the queue of connections being reset, and against an answer that would come after the end.
+    #[test]
+    fn a_stop_turns_late_connections_away_and_leaves_each_answer_its_time() {
+        let mut life = Lifecycle::new(Times { serve_ms: 900.0, killed_ms: 3400.0, ..Times::default() });
+        life.able(0.0, true);
+        assert!(!life.turns_away(0.0) && life.left_ms(5.0) == f64::INFINITY);
+        assert_eq!(life.handle(100.0, Command::Stop), Ok(Phase::Stopping));
+        assert!(!life.turns_away(699.0) && life.turns_away(700.0) && life.turns_away(5000.0));
+        assert_eq!((life.left_ms(100.0), life.left_ms(3400.0), life.left_ms(4000.0)), (3400.0, 100.0, 0.0));
+    }
+
     #[test]
     fn one_that_hands_over_accepts_nothing_and_closes_with_each_answer() {
         let mut life = serving();
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -289,7 +289,7 @@
     /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
     /// ready to let requests in.
     pub fn able(&self) -> bool {
-        let told = self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS;
+        let told = self.informed();
         let now = self.now();
         let engine = &self.state.borrow().engine;
         // Beside a predecessor its accounts are still to come, as full as they are: nothing has to fill here first.
@@ -299,6 +299,12 @@
         able
     }
 
+    /// Connections may be accepted: discovery has told what its agent has, which counts from the first moment on, or had its
+    /// chance. Until then a request would go by the list that was known last, to servers that may have drained since.
+    pub fn informed(&self) -> bool {
+        self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS
+    }
+
     /// Clients may come.
     pub fn ready(&self) -> bool {
         self.able() && self.life.borrow().ready()
@@ -446,8 +452,11 @@
 
     /// Discovery's news.
     pub fn servers(self: &Rc<Self>, news: News) {
-        self.told.set(true);
+        let first = !self.told.replace(true);
         self.apply(news);
+        if first {
+            self.phase_changed.notify_waiters();
+        }
     }
 
     fn apply(self: &Rc<Self>, mut news: News) {
@@ -509,6 +518,8 @@
         if !matches!(content.body, Payload::Piped(_)) {
             request.budget_ms -= self.pauses.borrow_mut().waited_ms(self.now());
         }
+        // Past that nobody is left to answer.
+        request.budget_ms = request.budget_ms.min(self.life(Lifecycle::left_ms));
         let mut state = self.state.borrow_mut();
         let name = content.correlation.as_bytes().into();
         let id = self.input(&mut state, Input::Request { name, request })?;
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -49,6 +49,12 @@
 const REST_EACH: Duration = Duration::from_micros(80);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
+/// Connections that are turned away at once while this process ends, and how long one of them may take to ask.
+const MOST_LATE: usize = 16;
+const LATE_TIME: Duration = Duration::from_millis(400);
+/// Before the process ends it turns away for so long what still comes: clients whose request crossed the close of their
+/// connection come again on a new one.
+const LAST_TIME: Duration = Duration::from_millis(100);
 /// How often it is looked whether a client has left behind what it has sent beyond its open request.
 const LOOK: Duration = Duration::from_millis(50);
 /// A body that is too large is read on for so long and so far, so that its sender sees the answer.
@@ -75,6 +81,8 @@
     /// Where it goes once another process has taken this one's place, and when to look.
     heir: Rc<Heir>,
     pass: Notify,
+    /// It came while this process ends: what it asks is refused.
+    late: bool,
     /// It has been told to make way.
     leaving: Cell<bool>,
     /// Close between requests.
@@ -87,7 +95,7 @@
 }
 
 impl Client {
-    fn new(layout: Rc<Layout>, heir: Rc<Heir>) -> Client {
+    fn new(layout: Rc<Layout>, heir: Rc<Heir>, late: bool) -> Client {
         let now = Instant::now();
         Client {
             busy: Cell::new(false),
@@ -101,6 +109,7 @@
             taken: Cell::new(true),
             heir,
             pass: Notify::new(),
+            late,
             leaving: Cell::new(false),
             close: Notify::new(),
             cut: Notify::new(),
@@ -193,7 +202,8 @@
                     continue;
                 }
                 // Half a request is waited for also then: its client may count it as taken soon.
-                let part = client.begun.get().is_some_and(|at| at.elapsed() > PART_TIME);
+                let most = if client.late { LATE_TIME } else { PART_TIME };
+                let part = client.begun.get().is_some_and(|at| at.elapsed() > most);
                 let says_nothing = client.begun.get().is_none() || !client.spoke.get();
                 if part || (says_nothing && client.used.get().elapsed() >= idle) {
                     client.cut.notify_one();
@@ -213,6 +223,11 @@
         self.all.borrow().values().any(|c| c.answering.get() || c.begun.get().is_none())
     }
 
+    /// Connections that came too late and are still there.
+    fn late(&self) -> usize {
+        self.all.borrow().values().filter(|c| c.late).count()
+    }
+
     /// Cuts the connection that is worth least. Guards against crowds that hold connections, or send a request's half, in
     /// place of the clients that ask.
     fn evict(&self) {
@@ -256,18 +271,26 @@
     let mut failing = false;
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
+    let (mut away, mut last) = (false, None);
     loop {
         let (phase, accepts) = (driver.phase(), driver.life(Lifecycle::accepts));
+        let turns_away = driver.life(Lifecycle::turns_away);
+        if turns_away && !std::mem::replace(&mut away, true) {
+            info!("new connections are turned away from now on");
+        }
         let over = clients.all.borrow().len() as isize - driver.room(driver.config.most_clients) as isize;
         if over >= 0 && accepts {
             clients.evict();
         }
         // What waits to be accepted is not held up by those that are on their way out.
-        let room = over < SPARE as isize;
-        let tick = over >= 0 || !matches!(phase, Phase::Warming | Phase::Starting | Phase::Serving);
+        let room = match turns_away {
+            // They hold no place that those who were here before could miss.
+            true => over < 0 && clients.late() < MOST_LATE,
+            false => over < SPARE as isize && accepts && driver.informed(),
+        };
+        let tick = over >= 0 || !matches!(phase, Phase::Warming | Phase::Serving);
         let closes = driver.life(Lifecycle::closes_idle);
-        // One that stops lets those who come too late wait until it ends: a refusal now would tell them no more.
-        if phase == Phase::HandingOver || (phase == Phase::Stopping && closes) {
+        if phase == Phase::HandingOver {
             listener = None;
         }
         if phase == Phase::HandingOver && clients.heir.is_there() {
@@ -278,7 +301,10 @@
         }
         closing = closes;
         if driver.life(|life, now| life.ends(now, clients.owe(), !clients.all.borrow().is_empty())) {
-            return;
+            let since = *last.get_or_insert_with(Instant::now);
+            if listener.is_none() || since.elapsed() >= LAST_TIME {
+                return;
+            }
         }
         let accept = async {
             match &listener {
@@ -287,7 +313,7 @@
             }
         };
         tokio::select! {
-            accepted = accept, if room && accepts => match accepted {
+            accepted = accept, if room => match accepted {
                 Ok((stream, _)) => {
                     number += 1;
                     failing = false;
@@ -334,7 +360,8 @@
     before: Option<(Option<Duration>, Bytes)>,
 ) {
     let _ = stream.set_nodelay(true);
-    let client = Rc::new(Client::new(clients.layout.clone(), clients.heir.clone()));
+    let late = driver.life(Lifecycle::turns_away);
+    let client = Rc::new(Client::new(clients.layout.clone(), clients.heir.clone(), late));
     let mut read = Bytes::new();
     if let Some((begun, bytes)) = before {
         client.begun.set(begun.map(|waited| Instant::now().checked_sub(waited).unwrap_or_else(Instant::now)));
@@ -443,6 +470,17 @@
         return plain(status, "");
     }
     let (head, body) = request.into_parts();
+    if client.late {
+        // Its sender reads the answer once it has sent all.
+        let _ = timeout(LATE_TIME, discard(body)).await;
+        if let Some(class) = head::class(&driver.config, &client.layout, &head) {
+            driver.count(|ledger| ledger.passed(class, End::Declined));
+        }
+        let mut answer =
+            refusal(f64::from(driver.config.settings.may_advise) * LATE_TIME.as_secs_f64() * 1000.0);
+        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        return answer;
+    }
     let mut rested_ms = 0.0;
     if let Some(until) = client.rest.take() {
         let came = Instant::now();
@@ -512,15 +550,7 @@
     let mut answer = match answer {
         Ok(Answer::Served(body)) => Response::new(Reply::Whole(body)),
         Ok(Answer::Streamed(pieces, left)) => Response::new(Reply::Pieces { pieces, left, ended: false }),
-        Ok(Answer::Refused(retry_ms)) => {
-            let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
-            if retry_ms > 0.0 {
-                if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_ms / 1000.0)) {
-                    answer.headers_mut().insert(RETRY_AFTER, value);
-                }
-            }
-            answer
-        }
+        Ok(Answer::Refused(retry_ms)) => refusal(retry_ms),
         Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, ""),
     };
     if !sent_all {
@@ -540,6 +570,17 @@
     }
 }
 
+/// Trying again is harmless, after so many milliseconds if not 0.
+fn refusal(retry_ms: f64) -> Response<Reply> {
+    let mut answer = plain(StatusCode::TOO_MANY_REQUESTS, "");
+    if retry_ms > 0.0 {
+        if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", retry_ms / 1000.0)) {
+            answer.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    answer
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
     let mut answer = Response::new(Reply::Whole(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
--- a/marldeal/src/settings/config.rs
+++ b/marldeal/src/settings/config.rs
@@ -130,6 +130,7 @@
 const KILL_AFTER_MS: f64 = 700.0;
 /// Kept between the last answer and SIGKILL.
 const DRAIN_SPARE_MS: f64 = 300.0;
+const ANSWER_SPARE_MS: f64 = 100.0;
 /// New connections come for 0.4 s after SIGTERM: requests are taken for so long at least.
 const LEAST_DRAIN_MS: f64 = 600.0;
 
@@ -143,6 +144,15 @@
     (longest + KILL_AFTER_MS - answered - DRAIN_SPARE_MS).max(LEAST_DRAIN_MS)
 }
 
+/// When SIGKILL may come after SIGTERM, less what an answer needs to be written: nothing is left to be answered then.
+fn killed_ms(settings: &Setup) -> f64 {
+    let longest = settings.classes.iter().filter_map(|c| c.deadline_ms).fold(0.0, f64::max);
+    match longest > 0.0 {
+        true => longest.min(MOST_DEADLINE_MS) + KILL_AFTER_MS - ANSWER_SPARE_MS,
+        false => f64::INFINITY,
+    }
+}
+
 fn variable(name: &str) -> Option<String> {
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
@@ -209,7 +219,11 @@
         if !drain_grace_ms.is_finite() || drain_grace_ms < 0.0 {
             found.push(wrong("settings.Obligations.DrainGraceMs", format!("{drain_grace_ms} is not a time")));
         }
-        let times = Times { serve_ms: drain_ms(&file.settings), ..Times::default() };
+        let times = Times {
+            serve_ms: drain_ms(&file.settings),
+            killed_ms: killed_ms(&file.settings),
+            ..Times::default()
+        };
         let most_units = file.settings.domain.units_top.unwrap_or(MOST_UNITS);
         let (memory_mb, sockets) = (file.limits.memory_mb, file.limits.sockets);
         let by_memory = |part: f64, each: f64| (memory_mb * part / each).max(0.0) as usize;
--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -246,3 +246,80 @@
         .map(|l| l.split_whitespace().collect::<Vec<_>>())
         .any(|l| l[2].ends_with(&port) && l[3] == "02")
 }
+
+/// A limiter that starts has an old list, and requests lie in its queue of connections before discovery has said a word.
+/// What the agent has counts as told from the first moment. Guards against one that is sent to a server which drains.
+#[test]
+fn nothing_is_sent_by_the_old_list_before_the_agent_has_spoken() {
+    let (addr, calls) = agent();
+    let (old, new) = (Stub::new(|_, s| write_ok(s, "old")), Stub::new(|_, s| write_ok(s, "new")));
+    let known = line(1, true, &[("s-1", old.addr, "active")]);
+    let node = Bare::start(addr, |c| c.replace(r#"{"version":1,"full":true,"servers":[]}"#, known.trim()));
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    client.write_all(get("look", "").as_bytes()).expect("write");
+    let mut watch = call(&calls, PATIENT, "watch");
+    // Time enough for it to go out, and far less than a silent agent is waited for.
+    std::thread::sleep(Duration::from_millis(300));
+    let _ = watch.write_all(HEAD.as_bytes());
+    say(&mut watch, &line(2, true, &[("s-1", old.addr, "leaving"), ("s-2", new.addr, "active")]));
+    assert_eq!(read_answer(&mut client).body, "new");
+    assert_eq!(old.arrivals(), 0);
+}
+
+/// Connections that come late while the process ends lie in its queue. Guards against a request that was written to one of
+/// them, and taken so, being reset when the process ends.
+#[test]
+fn requests_on_connections_that_come_too_late_are_refused_not_reset() {
+    let (server, release) = held();
+    let mut node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(r#""MayTell":true"#, r#""MayTell":true,"RetryAfter":true"#)
+    });
+    let mut slow = TcpStream::connect(node.addr).expect("connect");
+    slow.write_all(post("book", "k1", "", "slow").as_bytes()).expect("write");
+    wait_for("the slow request to arrive", || server.arrivals() == 1);
+    node.signal("TERM");
+    node.wait_log("turned away from now on");
+    let mut late: Vec<_> = (0..40).map(|_| TcpStream::connect(node.addr).expect("connect")).collect();
+    for (n, stream) in late.iter_mut().enumerate() {
+        let request = if n % 2 == 0 { get("look", "") } else { post("book", &format!("l{n}"), "", "x") };
+        stream.write_all(request.as_bytes()).expect("write");
+    }
+    for stream in &mut late {
+        let answer = read_answer(stream);
+        assert_eq!(answer.status, 429);
+        assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+    }
+    assert_eq!(server.arrivals(), 1);
+    release.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(read_answer(&mut slow).body, "done");
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Clients may wait longer than the platform waits before it kills. Guards against a request that is still open then: all
+/// servers hang, and a late answer would still be worth something.
+#[test]
+fn what_comes_after_sigterm_is_answered_before_sigkill() {
+    let server = Stub::new(|_, _| {
+        std::thread::sleep(PATIENT);
+        false
+    });
+    let mut node = Node::with(&[("s-1", &server, "active")], |c| {
+        c.replace(
+            r#""AimMs":1000,"Effect":"read_like","LateWorth":0"#,
+            r#""AimMs":1000,"Effect":"read_like","LateWorth":0.5,"DeadlineMs":1500"#,
+        )
+    });
+    let mut kept = TcpStream::connect(node.addr).expect("connect");
+    exchange(&mut kept, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    node.signal("TERM");
+    node.wait_log("finishing");
+    let began = Instant::now();
+    let answer = exchange(&mut kept, &get("look", "").replace("X-Time-Left: 3.0", "X-Time-Left: 9.0"));
+    // Of 2.2 s at the earliest; without a bound it would be 9.
+    assert!(
+        [429, 502].contains(&answer.status) && began.elapsed() < Duration::from_secs(5),
+        "{:?}",
+        began.elapsed()
+    );
+    assert_eq!(node.exit_code(), Some(0));
+}
