Idle connections are asked of the kernel before what may take effect goes out on them

Seen by reading: `Pool::take` goes by what the event loop has been told. A close, or bytes unasked, that lie in the kernel when a request is written end it as one that may have run: a booking is lost as failed, and one that is unsafe to repeat with it.

Change: for requests that are not safe to repeat the kernel is asked once before use (`Shared::unread`); look-ups cost nothing more. Ruled out: hyper calls a request not written whole only before its own flush, which comes in the very poll of the write, so that what the kernel has taken whole is never called unsent.

Measured: the new test puts a close and unasked bytes between two turns of the event loop; without asking, the pool gives out the dead connection, which the test shows beside.

--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -26,7 +26,7 @@
 use crate::front::head::{CORRELATION, KEY, TIME_LEFT};
 use crate::payload::{Outgoing, Piece, Progress, Watched, MOST_WHOLE, STILL};
 use crate::settings::config::Config;
-use crate::tapped::{Tap, Tapped};
+use crate::tapped::{Shared, Tap, Tapped, Unread};
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
@@ -42,9 +42,12 @@
 /// then, and shows that it is of no further use.
 const SETTLE: Duration = Duration::from_millis(10);
 
+type Written = Box<dyn Fn(RequestId, u32)>;
+
 /// How far the request on a connection has been written.
 struct Writing {
-    driver: Rc<Driver>,
+    /// Is told that a request's last byte has been written.
+    written: Written,
     /// Which one is on its way, and not written whole yet.
     what: Cell<Option<(RequestId, u32)>>,
     /// The connection has taken its last byte in.
@@ -76,20 +79,21 @@
     fn flushed(&mut self) {
         if self.taken.get() && self.wrote.get() {
             if let Some((id, attempt)) = self.what.take() {
-                self.driver.written(id, attempt);
+                (self.written)(id, attempt);
             }
         }
     }
 }
 
 type Sent = Watched<Outgoing, Writing>;
-type Wire = TokioIo<Tapped<Rc<Writing>>>;
+type Wire = TokioIo<Tapped<Rc<Writing>, Shared>>;
 
 /// A connection and what drives it. Nothing else does: dropping it closes the socket.
 struct Link {
     sender: SendRequest<Sent>,
     connection: Connection<Wire, Sent>,
     writing: Rc<Writing>,
+    socket: Shared,
     _room: Room,
 }
 
@@ -140,11 +144,14 @@
     /// The connection used last that is still good. One that the server has closed, or has written to
     /// unasked, is dropped here, before use: a request written to it would end as a reset, or be given what
     /// the server wrote as its answer.
-    fn take(&mut self, server: &ServerId) -> Option<Link> {
+    /// The event loop may not have been told yet of a close that has come: where a lost attempt may not simply be repeated,
+    /// the kernel is asked.
+    fn take(&mut self, server: &ServerId, surely: bool) -> Option<Link> {
         let links = self.idle.get_mut(server)?;
         while let Some(at) = links.iter().rposition(|l| l.since.elapsed() >= SETTLE) {
             let Idle { mut link, since } = links.remove(at);
-            if since.elapsed() < self.idle_for && link.alive() {
+            let quiet = |link: &Link| !surely || link.socket.unread() == Unread::Nothing;
+            if since.elapsed() < self.idle_for && link.alive() && quiet(&link) {
                 return Some(link);
             }
         }
@@ -232,7 +239,7 @@
 
 async fn exchange(servers: &Servers, driver: &Rc<Driver>, job: &Job) -> (Outcome, Option<Bytes>) {
     let Some(addr) = driver.address(&job.server) else { return (Outcome::NotSent, None) };
-    let pooled = servers.pool.borrow_mut().take(&job.server);
+    let pooled = servers.pool.borrow_mut().take(&job.server, job.content.method != hyper::Method::GET);
     let mut link = match pooled {
         Some(link) => link,
         None => match connect(servers, driver, addr).await {
@@ -354,17 +361,19 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
     };
+    let driver = driver.clone();
+    link(stream, Box::new(move |id, attempt| driver.written(id, attempt)), room).await
+}
+
+async fn link(stream: TcpStream, written: Written, room: Room) -> Result<Link, Outcome> {
     let _ = stream.set_nodelay(true);
-    let writing = Rc::new(Writing {
-        driver: driver.clone(),
-        what: Cell::new(None),
-        taken: Cell::new(false),
-        wrote: Cell::new(false),
-    });
-    let wire = TokioIo::new(Tapped { stream, tap: writing.clone(), read: Bytes::new() });
+    let writing =
+        Rc::new(Writing { written, what: Cell::new(None), taken: Cell::new(false), wrote: Cell::new(false) });
+    let socket = Shared::new(stream);
+    let wire = TokioIo::new(Tapped { stream: socket.clone(), tap: writing.clone(), read: Bytes::new() });
     let made = http1::Builder::new().max_buf_size(MOST_READ).handshake(wire).await;
     let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
-    Ok(Link { sender, connection, writing, _room: room })
+    Ok(Link { sender, connection, writing, socket, _room: room })
 }
 
 fn request(
@@ -385,3 +394,50 @@
     }
     request.body(Watched::new(Outgoing::new(&content.body), writing.clone()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+
+    /// A server closes an idle connection, or writes to it unasked, and the event loop has not been told when the next
+    /// request is to go out on it: the loop does not run between the two, since the test blocks its only thread. Guards
+    /// against a booking that is written there and ends as one that may have run.
+    #[test]
+    fn what_the_event_loop_has_not_been_told_of_an_idle_connection_is_asked_of_the_kernel() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let server: ServerId = "s-1".into();
+        for unasked in [false, true] {
+            runtime.block_on(async {
+                let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+                let addr = listener.local_addr().expect("an address");
+                let mut pool = Pool::new(10_000.0);
+                let (mut far, mut kept) = (Vec::new(), Vec::new());
+                for _ in 0..3 {
+                    let room = pool.reserve(9).expect("room");
+                    let stream = TcpStream::connect(addr).await.expect("connect");
+                    far.push(listener.accept().expect("accept").0);
+                    let link = link(stream, Box::new(|_, _| {}), room).await.map_err(drop).expect("a link");
+                    pool.put(&server, link);
+                }
+                std::thread::sleep(SETTLE * 2);
+                // The first stays open; the one used last comes first.
+                let open = far.remove(0);
+                for mut stream in far {
+                    match unasked {
+                        true => stream.write_all(b"HTTP/1.1 408 Late\r\n\r\n").expect("write"),
+                        false => stream.shutdown(std::net::Shutdown::Write).expect("close"),
+                    }
+                    kept.push(stream);
+                }
+                let blind = pool.take(&server, false).expect("what the event loop knows");
+                assert_ne!(blind.socket.unread(), Unread::Nothing, "the crossing was forced");
+                let sure = pool.take(&server, true).expect("the one that is open");
+                assert_eq!(sure.socket.unread(), Unread::Nothing);
+                assert_eq!(pool.open.get(), 2, "the dead one was closed");
+                drop((blind, sure, open, kept));
+                assert_eq!(pool.open.get(), 0);
+            });
+        }
+    }
+}
