Repeats stay in their group and window also where a server leaves, or a connection comes late

Seen by reading and confirmed by tests that failed before: - `policy.rs`, `on_attempt_ended` looked a server's zone and cell up when an attempt ended. The place now stands in the attempt's record from when it was sent. - A repeat decided within the window in which servers drop it was written when its connection had come up, up to the connect time-out later: with a window of 0.9 s and a connection that came up after 1 s the booking went out whole. It is not sent now; nor is what stood ready while the process stood still past its client's time (`servers.rs`, `exchange`).

Ruled out: an attempt's place read from an entry that has since moved; it was, and is no more.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -76,6 +76,10 @@
     pub budget_ms: f64,
     /// How long its final answer is kept by its key, in milliseconds; nothing for one that is not.
     pub keep_ms: Option<f64>,
+    /// How long servers drop its repeats, counted from when it first went out; infinite where that does not matter.
+    pub window_ms: f64,
+    /// When it first went out.
+    pub first_out: Cell<Option<f64>>,
 }
 
 impl Content {
@@ -544,6 +548,12 @@
         (class.effect == Effect::Keyed && self.record.borrow().is_some()).then_some(class.window_ms)
     }
 
+    /// How long servers drop repeats of a request.
+    pub fn window_ms(&self, request: &Request) -> f64 {
+        let class = self.config.settings.classes.get(request.class).filter(|c| c.effect == Effect::Keyed);
+        class.map_or(f64::INFINITY, |c| c.window_ms)
+    }
+
     /// The answer that there was to this very request, asked before under its key.
     pub fn recorded(&self, content: &Content) -> Option<Bytes> {
         content.keep_ms?;
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -525,6 +525,8 @@
         body,
         budget_ms: read.request.budget_ms,
         keep_ms: driver.keep_ms(&read.request),
+        window_ms: driver.window_ms(&read.request),
+        first_out: Cell::new(None),
     };
     if let Some(body) = driver.recorded(&content) {
         driver.count(|ledger| ledger.passed(read.request.class, End::Succeeded));
--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -254,7 +254,14 @@
     if driver.address(&job.server) != Some(addr) {
         return (Outcome::NotSent, None);
     }
-    let left_ms = (job.end - driver.now()).min(job.content.budget_ms);
+    // So may the time of its client, while this process stood still, and that in which servers drop its repeats.
+    let now = driver.now();
+    let first = job.content.first_out.get().unwrap_or(now);
+    if now >= job.end || (job.attempt > 0 && now - first >= job.content.window_ms) {
+        return (Outcome::NotSent, None);
+    }
+    job.content.first_out.set(Some(first));
+    let left_ms = (job.end - now).min(job.content.budget_ms);
     link.writing.begin(job);
     let Ok(request) = request(job, addr, left_ms, &link.writing) else { return (Outcome::NotSent, None) };
     let Link { sender, connection, writing, .. } = &mut link;
--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -210,15 +210,7 @@
 /// out for nobody: once out it would go on to its end.
 #[test]
 fn a_booking_whose_client_left_while_its_connection_came_up_is_not_sent() {
-    // Its queue of connections is full: the next one comes up when there is room.
-    let listener =
-        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    listener.bind(&any.into()).expect("bind");
-    listener.listen(0).expect("listen");
-    let listener = TcpListener::from(listener);
-    let addr = listener.local_addr().expect("an address");
-    let filler = TcpStream::connect(addr).expect("connect");
+    let (addr, listener, filler) = full();
     let node = Node::with(&[], |c| c.replace(r#""DialTimeoutMs":250"#, r#""DialTimeoutMs":6000"#));
     node.discovery.push(&line(2, true, &[("s-1", addr, "active")]));
     wait_for("readiness", || ready(&node) == 200);
@@ -227,15 +219,65 @@
     client.write_all(long.as_bytes()).expect("write");
     wait_for("the connect", || connecting(addr));
     drop(client);
-    let (filled, _) = listener.accept().expect("the filler");
-    drop((filler, filled));
-    let (mut late, _) = listener.accept().expect("the late one");
+    let (mut late, _) = second_in_queue(&listener, filler);
     late.set_read_timeout(Some(PATIENT)).expect("time-out");
     let mut text = String::new();
     std::io::Read::read_to_string(&mut late, &mut text).expect("an end");
     assert_eq!(text, "", "what its client no longer waits for");
 }
 
+/// The first attempt at a booking may have run; the connection for the second comes up when servers drop its repeats no
+/// longer. Guards against a booking that takes effect twice.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_window_is_not_sent() {
+    let (addr, listener, filler) = full();
+    let (told, wait) = mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let first = Stub::new(move |_, stream| {
+        let _ = wait.lock().expect("lock").recv_timeout(PATIENT);
+        write!(stream, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n").is_ok()
+    });
+    let node = Node::with(&[("s-1", &first, "active")], |c| {
+        c.replace(r#""DialTimeoutMs":250"#, r#""DialTimeoutMs":6000"#)
+            .replace(r#""WindowMs":8000"#, r#""WindowMs":900"#)
+            .replace(r#""AimMs":2500"#, r#""AimMs":6000"#)
+    });
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    let long = post("book", "k1", "", "x").replace("X-Time-Left: 3.0", "X-Time-Left: 8.0");
+    client.write_all(long.as_bytes()).expect("write");
+    wait_for("the first attempt", || first.arrivals() == 1);
+    node.discovery.push(&line(2, false, &[("s-2", addr, "active")]));
+    node.wait_log("server s-2 at");
+    told.send(()).expect("the first server waits");
+    wait_for("the second attempt's connect", || connecting(addr));
+    let (mut late, _) = second_in_queue(&listener, filler);
+    late.set_read_timeout(Some(PATIENT)).expect("time-out");
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut late, &mut text).expect("an end");
+    assert_eq!(text, "", "the window is over");
+    assert_eq!(read_answer(&mut client).status, 502);
+}
+
+/// A listener whose queue of connections is full: the next one comes up when there is room, at the retry of its first
+/// packet after a second.
+fn full() -> (std::net::SocketAddr, TcpListener, TcpStream) {
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("bind");
+    listener.listen(0).expect("listen");
+    let listener = TcpListener::from(listener);
+    let addr = listener.local_addr().expect("an address");
+    (addr, listener, TcpStream::connect(addr).expect("connect"))
+}
+
+/// Makes room in such a queue; the connection that comes then.
+fn second_in_queue(listener: &TcpListener, filler: TcpStream) -> (TcpStream, std::net::SocketAddr) {
+    let filled = listener.accept().expect("the filler");
+    drop((filler, filled));
+    listener.accept().expect("the late one")
+}
+
 /// A connection to this address has been begun and is not up.
 fn connecting(addr: std::net::SocketAddr) -> bool {
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of connections");
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -233,12 +233,15 @@
         let check_ms = self.settings.classes[class].aim_ms * CHECK_PART;
         let attempt = request.attempts;
         (request.attempts, request.out, request.last) = (attempt + 1, true, Some(server.clone()));
+        let mut place = (0, 0);
         if let Some(s) = self.servers.get_mut(&server) {
+            place = (s.entry.zone, s.entry.cell);
             s.out += 1;
             s.cold.level -= 1.0;
         }
         self.occupied += slots;
-        let record = Attempt { server: server.clone(), sent: self.now, slots, class, cancelled: false };
+        let record =
+            Attempt { server: server.clone(), place, sent: self.now, slots, class, cancelled: false };
         self.attempts.insert((id, attempt), record);
         out.push(Action::Send { id, server, cap_ms: 0.0 });
         out.push(Action::Wake { after_ms: check_ms, token: token(id, WAKE_CHECK) });
@@ -282,9 +285,7 @@
         if let Some(r) = self.requests.get_mut(&id) {
             r.out = false;
             if !proved && r.may_have_run.is_none() {
-                let place =
-                    self.servers.get(&attempt.server).map_or((0, 0), |s| (s.entry.zone, s.entry.cell));
-                r.may_have_run = Some((attempt.sent, place.0, place.1));
+                r.may_have_run = Some((attempt.sent, attempt.place.0, attempt.place.1));
             }
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -384,6 +384,8 @@
 #[derive(Debug)]
 pub struct Attempt {
     pub server: ServerId,
+    /// Zone and cell of the server when it was sent: the list may have dropped it since.
+    pub place: (u32, u32),
     pub sent: Millis,
     pub slots: f64,
     pub class: usize,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -71,6 +71,25 @@
     assert_eq!(first, again, "only the server of the same zone drops the repeat");
 }
 
+/// The server leaves the list while the attempt is out, and then its connection breaks. Guards against a repeat in another
+/// group of servers, which would not know it: the place was looked up when the attempt ended, and none was found.
+#[test]
+fn a_keyed_request_stays_in_its_group_when_its_server_leaves_the_list_meanwhile() {
+    for group in [KeyGroup::Zone, KeyGroup::Cell] {
+        let mut s = settings(0);
+        s.classes[KEYED].group = group;
+        let mut rig = Rig::new(s, 0);
+        let first = ServerEntry { zone: 1, cell: 4, ..entry(1) };
+        rig.list(true, vec![first]);
+        assert_eq!(sent(&rig.ask(request(1, KEYED, FREE))).len(), 1);
+        let others =
+            vec![ServerEntry { zone: 0, cell: 0, ..entry(2) }, ServerEntry { zone: 0, cell: 0, ..entry(3) }];
+        rig.list(true, others);
+        let after = rig.ended(1, 0, Outcome::Severed, 5.0);
+        assert!(sent(&after).is_empty(), "{group:?}");
+    }
+}
+
 #[test]
 fn attempts_stop_at_the_limit() {
     let mut rig = Rig::new(settings(0), 5);
