A start waits for the agent's word a quarter of the shortest aim, and never for a registry

Change: only an agent is waited for (what a registry has counts once it has told it), a quarter of the shortest aim, 2 s at most.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -235,6 +235,8 @@
 
 /// A list that was handed over at the start counts as good after this long without word from discovery.
 const UNTOLD_MS: f64 = 2000.0;
+/// Share of the shortest aim for which a request may wait for that word.
+const WORD_PART: f64 = 0.25;
 
 impl Driver {
     /// A limiter with the list of servers that it last had; `beside` one that serves in its place still.
@@ -293,7 +295,7 @@
     /// A request could be served: a server takes work, discovery has spoken or had its chance, and the module is
     /// ready to let requests in.
     pub fn able(&self) -> bool {
-        let told = self.informed();
+        let told = self.told.get() || self.since_start_ms() > UNTOLD_MS;
         let now = self.now();
         let engine = &self.state.borrow().engine;
         // Beside a predecessor its accounts are still to come, as full as they are: nothing has to fill here first.
@@ -304,9 +306,18 @@
     }
 
     /// Connections may be accepted: discovery has told what its agent has, which counts from the first moment on, or had its
-    /// chance. Until then a request would go by the list that was known last, to servers that may have drained since.
+    /// chance. Until then a request would go by the list that was known last, to servers that may have drained since. What
+    /// waits in the queue meanwhile must still be served in time. A registry that is asked for its list is not waited for:
+    /// what it has counts once it has told it.
     pub fn informed(&self) -> bool {
-        self.told.get() || self.clock.began.elapsed().as_secs_f64() * 1000.0 > UNTOLD_MS
+        let settings = &self.config.settings;
+        let aims = settings.classes.iter().map(|class| class.aim_ms);
+        let most_ms = UNTOLD_MS.min(aims.fold(f64::INFINITY, f64::min) * WORD_PART);
+        self.told.get() || settings.must_subscribe || self.since_start_ms() > most_ms
+    }
+
+    fn since_start_ms(&self) -> f64 {
+        self.clock.began.elapsed().as_secs_f64() * 1000.0
     }
 
     /// Clients may come.
