A process stopped while it warms up refuses nobody in its predecessor's queue

Change: one that never accepted turns nobody away. Measured: the lifecycle's tests pass; the assertion added fails without the line.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -202,9 +202,11 @@
     }
 
     /// New connections are turned away: what they ask is refused at once, so that no request in the queue of connections ends
-    /// in a reset, and they take no place for longer than that.
+    /// in a reset, and they take no place for longer than that. One that only warmed up leaves them to its predecessor, whose
+    /// queue it is.
     pub fn turns_away(&self, now: Millis) -> bool {
-        self.phase == Phase::Stopping && !self.accepts(now)
+        let warmed_up = self.away == Some(f64::NEG_INFINITY);
+        self.phase == Phase::Stopping && !warmed_up && !self.accepts(now)
     }
 
     /// How long an answer may still take before the process may be ended from outside; infinite while it is not to end.
@@ -341,7 +343,7 @@
         assert_eq!(life.handle(3.0, Command::TakeOver), Ok(Phase::Serving));
         let mut stopped = Lifecycle::beside_predecessor(Times::default());
         assert_eq!(stopped.handle(0.0, Command::Stop), Ok(Phase::Stopping));
-        assert!(!stopped.accepts(0.0) && stopped.ends(0.0, false, true));
+        assert!(!stopped.accepts(0.0) && !stopped.turns_away(0.0) && stopped.ends(0.0, false, true));
         assert!(stopped.handle(1.0, Command::TakeOver).is_err());
     }
 
