Rehearsal: time added and control counted at each limiter, regions with far ways that part

Change: account.rs splits the time to a request's first attempt into the ask's wait, the word's, the queue's and the handshake's, and counts messages, bytes and changes of the roster a limiter, mean and most. `regions`, `net.far_ms` and the trouble `part`; processes refuse both by name. `limiters.prefetch`: so many hold units ahead.

--- a/crates/faults/src/ground/mod.rs
+++ b/crates/faults/src/ground/mod.rs
@@ -60,12 +60,16 @@
 pub fn mistakes(scenario: &Scenario) -> Vec<String> {
     let no = |t: &Trouble| {
         let why = match t.what {
+            What::Part => "the ground has no regions",
             What::Vanish => "a loopback address cannot fall silent without privileges",
             _ => return None,
         };
         Some(format!("\"{}\" is played in the virtual world only: {why}", name_of(t.what)))
     };
     let mut found: Vec<String> = scenario.timeline.iter().filter_map(no).collect();
+    if scenario.regions > 1 {
+        found.push("regions: the ground has one, and no far ways".to_string());
+    }
     if scenario.clients.proxied > 0.0 {
         found.push("clients.proxied: proxies are played in the virtual world only".to_string());
     }
--- a/crates/rehearsal/src/figures.rs
+++ b/crates/rehearsal/src/figures.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use crate::account::{Added, Control};
 use crate::clients::{End, Try};
 use crate::rules::Broken;
 use crate::scenario::Scenario;
@@ -81,6 +82,12 @@
     pub broken: Vec<Broken>,
     /// Events that the world went through.
     pub events: u64,
+    /// Time added to requests; the virtual world fills it.
+    #[serde(default)]
+    pub added: Added,
+    /// Messages and changes at a limiter; the virtual world fills it.
+    #[serde(default)]
+    pub control: Control,
 }
 
 /// One second of a run.
@@ -339,6 +346,8 @@
             broken_count,
             broken: broken.to_vec(),
             events,
+            added: Added::default(),
+            control: Control::default(),
         };
         (figures, self.seconds)
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -18,6 +18,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod account;
 pub mod clients;
 pub mod draws;
 pub mod figures;
--- a/crates/rehearsal/src/post.rs
+++ b/crates/rehearsal/src/post.rs
@@ -23,8 +23,11 @@
     loss: f64,
     per_s: f64,
     buildings: u32,
+    far_ms: [f64; 2],
     /// How often each building is cut off now.
     cut: Vec<u32>,
+    /// How often each region is parted from the others now.
+    parted: Vec<u32>,
     /// What is wrong now, by its number in the timeline.
     wrong: Vec<(usize, Trouble)>,
     /// What each limiter may still take in.
@@ -40,7 +43,9 @@
             loss: scenario.net.mail_loss,
             per_s,
             buildings: scenario.buildings,
+            far_ms: scenario.net.far_ms,
             cut: vec![0; scenario.buildings as usize],
+            parted: vec![0; scenario.regions as usize],
             wrong: Vec::new(),
             room: vec![Store::full(from, per_s); scenario.limiters.count as usize],
         }
@@ -50,6 +55,7 @@
     pub fn begins(&mut self, number: usize, trouble: &Trouble) {
         match trouble.what {
             What::Cut => self.cut[trouble.building.unwrap_or(0) as usize] += 1,
+            What::Part => self.parted[trouble.region.unwrap_or(0) as usize] += 1,
             What::Lossy | What::Late | What::Twice | What::Garble | What::Groups => {
                 self.wrong.push((number, trouble.clone()));
             }
@@ -62,12 +68,31 @@
         if trouble.what == What::Cut {
             self.cut[trouble.building.unwrap_or(0) as usize] -= 1;
         }
+        if trouble.what == What::Part {
+            self.parted[trouble.region.unwrap_or(0) as usize] -= 1;
+        }
         self.wrong.retain(|(n, _)| *n != number);
     }
 
     /// Two buildings reach one another.
     pub fn reachable(&self, a: u32, b: u32) -> bool {
-        a == b || (self.cut[a as usize] == 0 && self.cut[b as usize] == 0)
+        a == b || (self.cut[a as usize] == 0 && self.cut[b as usize] == 0 && self.near(a, b))
+    }
+
+    /// The region in which a building stands.
+    fn region(&self, building: u32) -> usize {
+        building as usize % self.parted.len()
+    }
+
+    /// No region between two buildings is parted from the other's.
+    fn near(&self, a: u32, b: u32) -> bool {
+        let (a, b) = (self.region(a), self.region(b));
+        a == b || (self.parted[a] == 0 && self.parted[b] == 0)
+    }
+
+    /// Two buildings stand in different regions.
+    pub fn far(&self, a: u32, b: u32) -> bool {
+        self.region(a) != self.region(b)
     }
 
     /// Discovery reaches a building.
@@ -75,6 +100,11 @@
         self.cut[building as usize] == 0
     }
 
+    /// Discovery reaches a building with news of a node in another: not from a region that is parted from its own.
+    pub fn told_of(&self, building: u32, node: u32) -> bool {
+        self.told(building) && self.near(building, node)
+    }
+
     /// The arrivals of a datagram that `from` sends to `to` now; none if it is lost.
     pub fn arrivals(&self, from: usize, to: usize, rng: &mut Stream, out: &mut Vec<Arrival>) {
         let on_way = |t: &Trouble| {
@@ -97,6 +127,9 @@
         let copies = if draws::chance(rng, share(What::Twice)) { 2 } else { 1 };
         for _ in 0..copies {
             let mut after_ms = draws::between(rng, self.mail_ms);
+            if self.far(building(from), building(to)) {
+                after_ms += draws::between(rng, self.far_ms);
+            }
             for late in wrong(What::Late) {
                 after_ms += draws::between(rng, late.late_ms.unwrap_or([0.0, 0.0]));
             }
@@ -189,6 +222,24 @@
         assert!(all.iter().all(|a| differ(a) == usize::from(a.spoilt.is_some())));
     }
 
+    #[test]
+    fn a_parted_region_hears_itself_alone_and_far_words_take_longer() {
+        let text = "buildings = 4\nregions = 2\n[limiters]\ncount = 8\n[net]\nmail_loss = 0.0\n\
+                    mail_ms = [1.0, 2.0]\nfar_ms = [30.0, 40.0]\n[[timeline]]\nwhat = \"part\"\nregion = 1\nat_s = 0\nfor_s = 9\n";
+        let scenario = Scenario::read(text).unwrap_or_else(|wrong| panic!("{wrong:?}"));
+        let mut post = Post::new(&scenario, 0.0);
+        // Buildings 0 and 2 stand in region 0, 1 and 3 in region 1.
+        let (share, all) = arrive(&post, 0, 1);
+        assert!(share == 1.0 && all.iter().all(|a| (31.0..=42.0).contains(&a.after_ms)));
+        assert!(arrive(&post, 0, 2).1.iter().all(|a| a.after_ms <= 2.0));
+        post.begins(0, &scenario.timeline[0]);
+        assert_eq!((arrive(&post, 0, 1).0, arrive(&post, 1, 3).0, arrive(&post, 0, 2).0), (0.0, 1.0, 1.0));
+        assert!(!post.reachable(0, 3) && post.reachable(1, 3) && post.reachable(0, 2));
+        assert!(post.told_of(1, 3) && !post.told_of(1, 2) && !post.told_of(0, 1) && post.told_of(0, 2));
+        post.ends(0, &scenario.timeline[0]);
+        assert!(post.reachable(0, 3) && post.told_of(1, 2) && arrive(&post, 0, 1).0 == 1.0);
+    }
+
     #[test]
     fn what_ends_leaves_nothing_behind() {
         let scenario = Scenario::read(
--- a/crates/rehearsal/src/scenario/check.rs
+++ b/crates/rehearsal/src/scenario/check.rs
@@ -66,6 +66,9 @@
         if self.plans.iter().map(|p| p.share).sum::<f64>() <= 0.0 {
             found.push(Wrong::new("plans", "one share above 0 is expected"));
         }
+        if self.regions > self.buildings {
+            found.push(Wrong::new("regions", "at most as many as buildings are expected"));
+        }
         for (n, class) in self.classes.iter().enumerate() {
             if class.aim_s > class.give_up_s {
                 found.push(Wrong::new(format!("classes[{n}].aim_s"), "at most give_up_s is expected"));
@@ -116,6 +119,7 @@
             ("length_s", t.length_s.is_some(), t.what == Pause, true),
             ("down_s", t.down_s.is_some(), t.what == Rolling, true),
             ("building", t.building.is_some(), t.what == Cut, true),
+            ("region", t.region.is_some(), t.what == Part, true),
             ("from", t.from.is_some(), matches!(t.what, Lossy | Late | Twice | Garble), false),
             ("to", t.to.is_some(), matches!(t.what, Lossy | Late | Twice | Garble), false),
             ("groups", t.groups.is_some(), t.what == Groups, true),
@@ -202,6 +206,9 @@
         if t.building.is_some_and(|b| b >= self.buildings) {
             found.push(Wrong::new(key("building"), format!("a number below {} is expected", self.buildings)));
         }
+        if t.region.is_some_and(|r| r >= self.regions) {
+            found.push(Wrong::new(key("region"), format!("a number below {} is expected", self.regions)));
+        }
         if let Some(plan) = t.plan.as_ref().filter(|p| self.plan(p).is_none()) {
             let names: Vec<&str> = self.plans.iter().map(|p| p.name.as_str()).collect();
             found.push(Wrong::new(
--- a/crates/rehearsal/src/scenario/house.rs
+++ b/crates/rehearsal/src/scenario/house.rs
@@ -7,6 +7,7 @@
         Net {
             same_ms: [0.1, 0.3],
             cross_ms: [0.42, 0.78],
+            far_ms: [20.0, 40.0],
             mail_ms: [1.0, 13.0],
             mail_loss: 0.03,
             roster_s: [0.3, 2.0],
@@ -25,6 +26,7 @@
             close_s: 0.4,
             kill_s: 3.7,
             advise: true,
+            prefetch: 0,
         }
     }
 }
@@ -101,6 +103,7 @@
             about: String::new(),
             seconds: 60.0,
             buildings: 3,
+            regions: 1,
             net: Net::default(),
             limiters: Limiters::default(),
             nodes: Nodes::default(),
--- a/crates/rehearsal/src/scenario/mod.rs
+++ b/crates/rehearsal/src/scenario/mod.rs
@@ -31,6 +31,9 @@
     /// Buildings over which limiters and nodes are spread in turn.
     #[garde(range(min = 1, max = 64))]
     pub buildings: u32,
+    /// Regions over which the buildings are spread in turn: the ways between them are far, and may be lost for long.
+    #[garde(range(min = 1, max = 16))]
+    pub regions: u32,
     /// The ways between machines.
     #[garde(dive)]
     pub net: Net,
@@ -64,6 +67,9 @@
     /// Between buildings, least and most.
     #[garde(custom(span(0.0, 1000.0)))]
     pub cross_ms: [f64; 2],
+    /// Between regions, least and most; what is said between limiters takes as much longer.
+    #[garde(custom(span(0.0, 1000.0)))]
+    pub far_ms: [f64; 2],
     /// Messages between limiters, least and most.
     #[garde(custom(span(0.0, 1000.0)))]
     pub mail_ms: [f64; 2],
@@ -103,6 +109,9 @@
     /// They tell refused clients when to return.
     #[garde(skip)]
     pub advise: bool,
+    /// The first so many hold units of quotas ahead of need (`[prefetch]` in the extensions file); the others are as before.
+    #[garde(range(min = 0, max = 1000))]
+    pub prefetch: u32,
 }
 
 /// The booking nodes.
@@ -312,6 +321,9 @@
     Vanish,
     /// `building` is cut off from the others.
     Cut,
+    /// `region` is parted from the others: neither requests, nor messages, nor news of the others' nodes pass. Within it all
+    /// goes on, its own registry too.
+    Part,
     /// A further `share` of the messages between limiters is lost; with `from` and `to` on those ways alone.
     Lossy,
     /// Messages between limiters, or those `from` some `to` others, come later by `late_ms`, each by its own.
@@ -418,6 +430,10 @@
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub building: Option<u32>,
+    /// Which region, by number from 0.
+    #[garde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<u32>,
     /// Name of a plan.
     #[garde(skip)]
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/rehearsal/src/shrink.rs
+++ b/crates/rehearsal/src/shrink.rs
@@ -63,7 +63,7 @@
         2 => s.limiters.count = (s.limiters.count / 2).max(1),
         3 => s.limiters.count = (s.limiters.count - 1).max(1),
         4 => s.clients.load /= 2.0,
-        5 => s.buildings = 1,
+        5 => (s.buildings, s.regions) = (1, 1),
         6 => s.seconds = (s.seconds / 2.0).max(2.0),
         7 => s.clients.retries = 0,
         8 => (s.clients.greedy, s.clients.flash) = (0.0, 0.0),
--- a/crates/rehearsal/src/world/clients.rs
+++ b/crates/rehearsal/src/world/clients.rs
@@ -101,6 +101,7 @@
         if let Some(id) = engine.handle(self.now, Input::Request { name, request }, &mut outputs) {
             limiter.open.insert(id, sent.id);
             limiter.ids.insert(sent.id, id);
+            self.account.taken(self.now, sent.limiter, id);
         }
         self.perform(sent.limiter, outputs);
     }
@@ -110,6 +111,7 @@
         self.oracle.gone(try_id);
         if let Some(id) = self.limiters[limiter].ids.remove(&try_id) {
             self.limiters[limiter].open.remove(&id);
+            self.account.over(self.now, limiter, id, false);
             self.tell(limiter, Input::Gone { id });
         }
         if self.limiters[limiter].presented.remove(&try_id) {
--- a/crates/rehearsal/src/world/limiters.rs
+++ b/crates/rehearsal/src/world/limiters.rs
@@ -62,6 +62,7 @@
         let l = &mut self.limiters[limiter];
         let Some(try_id) = l.open.remove(&id) else { return };
         l.ids.remove(&try_id);
+        self.account.over(self.now, limiter, id, matches!(answer, Answer::Refused { .. }));
         self.answered(limiter, try_id, answer);
     }
 
@@ -76,7 +77,9 @@
     pub(super) fn mails(&mut self, from: usize, to: Option<u32>, body: &[u8]) {
         let all = 0..self.limiters.len();
         let peers = all.filter(|peer| *peer != from && to.is_none_or(|to| to as usize == *peer));
+        let lines = fawnhill::spoken(body).unwrap_or_default();
         for peer in peers.collect::<Vec<_>>() {
+            self.account.sent(self.now, from, body.len(), &lines);
             let mut arrivals = Vec::new();
             self.post.arrivals(from, peer, &mut self.rng, &mut arrivals);
             self.recorder.mailed(self.now, body.len(), !arrivals.is_empty());
@@ -89,6 +92,8 @@
 
     pub(super) fn mail_arrives(&mut self, limiter: usize, from: u32, body: Vec<u8>) {
         if self.post.takes_in(self.now, limiter) {
+            let lines = fawnhill::spoken(&body).unwrap_or_default();
+            self.account.heard(self.now, limiter, body.len(), &lines);
             self.tell(limiter, Input::Heard { from, body });
         } else {
             self.recorder.messages[1] += 1;
@@ -107,6 +112,10 @@
         l.external = Some(External::new(bounds, &settings));
         // Its settings were checked before the run.
         l.engine = Engine::new(settings, seed, self.now).ok();
+        if limiter < self.scenario.limiters.prefetch as usize {
+            let most = self.scenario.limiters.firms as usize;
+            l.engine.iter_mut().for_each(|engine| engine.prefetch(most));
+        }
         (l.listening, l.armed) = (true, None);
         let entries: Arc<[ServerEntry]> =
             l.view.iter().filter(|e| e.condition != Condition::Gone).cloned().collect();
@@ -149,6 +158,9 @@
         l.epoch += 1;
         l.open.clear();
         l.external = None;
+        for id in l.ids.values() {
+            self.account.over(self.now, limiter, *id, false);
+        }
         let mut held: Vec<u64> = l.ids.drain().map(|(try_id, _)| try_id).collect();
         held.extend(l.presented.drain());
         held.sort_unstable();
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -21,6 +21,7 @@
 use rand::RngExt;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::account::Account;
 use crate::clients::{Clients, Got, Say, Try};
 use crate::draws::{self, Stream};
 use crate::figures::{Figures, Recorder, Second};
@@ -192,6 +193,7 @@
     unheard: Vec<Vec<Arc<[ServerEntry]>>>,
     oracle: Oracle,
     recorder: Recorder,
+    account: Account,
     seed: u64,
     events: u64,
     rng: Stream,
@@ -284,6 +286,7 @@
             unheard: vec![Vec::new(); count],
             oracle: Oracle::new(scenario, BEGIN_MS),
             recorder: Recorder::new(scenario, BEGIN_MS),
+            account: Account::new(scenario.limiters.count, BEGIN_MS, BEGIN_MS + scenario.seconds * 1000.0),
             seed,
             events: 0,
             rng: draws::stream(seed, "world", 0),
@@ -345,7 +348,9 @@
     fn finish(mut self) -> Run {
         self.recorder.done_ms = self.machines.iter().map(|m| m.node.done_ms()).sum();
         let broken = self.oracle.broken().to_vec();
-        let (figures, seconds) = self.recorder.finish(self.seed, &broken, self.oracle.count(), self.events);
+        let (mut figures, seconds) =
+            self.recorder.finish(self.seed, &broken, self.oracle.count(), self.events);
+        (figures.added, figures.control) = self.account.finish();
         Run { figures, seconds }
     }
 
--- a/crates/rehearsal/src/world/nodes.rs
+++ b/crates/rehearsal/src/world/nodes.rs
@@ -89,7 +89,8 @@
     }
 
     pub(super) fn roster_to(&mut self, limiter: usize, entries: Arc<[ServerEntry]>) {
-        if self.roster_silent[limiter] > 0 || !self.post.told(self.limiters[limiter].zone) {
+        if self.roster_silent[limiter] > 0 || !self.post.told_of(self.limiters[limiter].zone, entries[0].zone)
+        {
             return self.unheard[limiter].push(entries);
         }
         let after = 1000.0 * draws::between(&mut self.rng, self.scenario.net.roster_s);
@@ -101,6 +102,7 @@
     }
 
     pub(super) fn roster_heard(&mut self, limiter: usize, entries: Arc<[ServerEntry]>) {
+        self.account.changed(self.now, limiter, entries.len());
         for entry in entries.iter() {
             let node = self.by_id[&entry.server];
             self.limiters[limiter].view[node] = entry.clone();
--- a/crates/rehearsal/src/world/timeline.rs
+++ b/crates/rehearsal/src/world/timeline.rs
@@ -92,7 +92,7 @@
             }
             What::Errors => nodes.iter().for_each(|n| self.machines[*n].errors = 0.0),
             What::Resets => nodes.iter().for_each(|n| self.machines[*n].resets = 0.0),
-            What::Cut => self.flush_roster(),
+            What::Cut | What::Part => self.flush_roster(),
             What::RosterSilent => {
                 self.hushes(&t, -1);
                 self.flush_roster();
--- a/crates/rehearsal/src/world/way.rs
+++ b/crates/rehearsal/src/world/way.rs
@@ -27,10 +27,13 @@
         self.recorder.attempts += 1;
         let crosses = self.limiters[limiter].zone != self.machines[node].zone;
         self.recorder.crossing += u64::from(crosses);
-        let way = draws::between(
-            &mut self.rng,
-            if crosses { self.scenario.net.cross_ms } else { self.scenario.net.same_ms },
-        );
+        let net = &self.scenario.net;
+        let span = match crosses {
+            true if self.post.far(self.limiters[limiter].zone, self.machines[node].zone) => net.far_ms,
+            true => net.cross_ms,
+            false => net.same_ms,
+        };
+        let way = draws::between(&mut self.rng, span);
         let idle_ms = self.scenario.nodes.idle_s * 1000.0;
         let idle = &mut self.limiters[limiter].idle[node];
         let stale = idle.iter().take_while(|since| self.now - **since >= idle_ms).count();
@@ -39,6 +42,9 @@
         if stale > 0 {
             self.machines[node].node.disconnect(self.now, stale);
         }
+        if let Some(id) = id.filter(|_| attempt == 0) {
+            self.account.goes_out(self.now, limiter, id, (!kept).then_some(2.0 * way));
+        }
         self.next_attempt += 1;
         let key = self.next_attempt;
         let epoch = self.limiters[limiter].epoch;
