Bench: how long until the last of 300 limiters has a change of the list; CPU in nanoseconds

Need: the capacity page asks until when all know of a change, and a hundredth of a core over 6 s is six ticks of /proc/PID/stat.

Change: `marldeal-bench told` starts up to 300 real limiters on one discovery and asks each operators' listener; Process::cpu reads the scheduler's own count. The capacity table names what of control is not split.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod firms;
 mod process;
 mod slopes;
+mod told;
 mod world;
 
 use std::path::PathBuf;
@@ -42,6 +43,8 @@
     Firms(firms::Options),
     /// What one limiter costs by servers, tenants, peers and open requests: written as a file of slopes.
     Slopes(slopes::Options),
+    /// How long until the last of many limiters has a change of the list: written as a file of slopes.
+    Told(told::Options),
     /// How long a pass takes in which a million firms are forgotten, without sockets.
     Passes,
     /// The baseline of `external`; started by it.
@@ -62,6 +65,7 @@
         What::Direct { count } => direct::run(&arguments.program, count),
         What::Firms(options) => firms::run(&arguments.program, &options),
         What::Slopes(options) => slopes::run(&arguments.program, &options),
+        What::Told(options) => told::run(&arguments.program, &options),
         What::Passes => {
             firms::passes();
             Ok(())
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -10,11 +10,16 @@
 /// Clock ticks a second in `/proc/PID/stat` (USER_HZ; proc(5)): 100 on every Linux that shows it to programs.
 const TICKS: f64 = 100.0;
 
+/// Processes started so far: each has files of its own.
+static STARTED: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+
 /// How a limiter under measurement is set up.
 #[derive(Debug, Clone)]
 pub struct Setup {
     /// Its external processor is asked, not its direct front.
     pub external: bool,
+    /// The operators' listener is on, and its address is the process's.
+    pub managed: bool,
     /// One plan, in the platform's form.
     pub plan: String,
     /// `limits.memory_mb`.
@@ -32,6 +37,7 @@
     fn default() -> Setup {
         Setup {
             external: false,
+            managed: false,
             plan: r#"{"Name":"basic"}"#.to_string(),
             memory_mb: 192.0,
             sockets: 1024,
@@ -107,13 +113,14 @@
 
     /// A limiter that is set up so, before nodes of this discovery.
     pub fn configured(program: &Path, discovery: SocketAddr, setup: &Setup) -> Result<Process, String> {
-        let Setup { external, plan, memory_mb, sockets, limiters, peers } = setup;
+        let Setup { external, managed, plan, memory_mb, sockets, limiters, peers } = setup;
+        let management = if *managed { r#""mgmt":"127.0.0.1:0","# } else { "" };
         let peers = peers.map_or(String::new(), |sink| {
             let all = vec![format!("\"{sink}\""); *limiters as usize].join(",");
             format!(r#""peer_listen":"127.0.0.1:0","peers":[{all}],"peers_all":"{sink}","#)
         });
         let config = format!(
-            r#"{{"name":"bench","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5",{peers}
+            r#"{{"name":"bench","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"5",{peers}{management}
             "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
             "settings":{{"Balancers":{limiters},"Position":0,"Zone":"a","Dcs":["a"],"RoundMs":4,"Discovery":"automatic",
             "Classes":[{{"Name":"look","AimMs":50000,"Effect":"read_like"}}],
@@ -122,30 +129,41 @@
             "Domain":{{"MailPerS":60}}}}}}"#
         );
         let path = |kind: &str| {
-            std::env::temp_dir().join(format!("marldeal-bench-{}-{external}.{kind}", std::process::id()))
+            let number = STARTED.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            std::env::temp_dir().join(format!("marldeal-bench-{}-{number}.{kind}", std::process::id()))
         };
         let write = |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| e.to_string());
-        write(&path("json"), &config)?;
+        let file = path("json");
+        write(&file, &config)?;
         let mut command = Command::new(program);
         for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
             command.env_remove(name);
         }
-        command.env("ROUTER_CONFIG", path("json"));
-        let mut files = vec![path("json")];
+        command.env("ROUTER_CONFIG", &file);
+        let mut files = vec![file];
         if *external {
+            let extensions = path("toml");
             write(
-                &path("toml"),
+                &extensions,
                 "[external_processor]\nlisten = \"127.0.0.1:0\"\nmax_open_requests = 100000\n",
             )?;
-            command.arg("--extensions").arg(path("toml"));
-            files.push(path("toml"));
+            command.arg("--extensions").arg(&extensions);
+            files.push(extensions);
         }
-        let word = if *external { "external processor on " } else { "serves on " };
+        let word = match (external, managed) {
+            (true, _) => "external processor on ",
+            (_, true) => "management on ",
+            _ => "serves on ",
+        };
         Process::start(command, word, files)
     }
 
-    /// CPU used so far, in seconds.
+    /// CPU used so far, in seconds: of all its threads by the scheduler's own count, in nanoseconds, where the kernel
+    /// tells (proc(5), `schedstat`), else in ticks.
     pub fn cpu(&self) -> Result<f64, String> {
+        if let Some(ns) = self.scheduled_ns() {
+            return Ok(ns / 1e9);
+        }
         let text = self.proc("stat")?;
         // The name in brackets may hold spaces; fields are counted behind it (proc(5): utime 14, stime 15).
         let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
@@ -153,6 +171,15 @@
         Ok((ticks(11)? + ticks(12)?) / TICKS)
     }
 
+    fn scheduled_ns(&self) -> Option<f64> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).ok()?;
+        let of = |task: std::io::Result<std::fs::DirEntry>| -> Option<f64> {
+            let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+            text.split_whitespace().next()?.parse().ok()
+        };
+        tasks.map(of).sum()
+    }
+
     /// Resident memory, in bytes.
     pub fn resident(&self) -> Result<f64, String> {
         let text = self.proc("status")?;
--- a/crates/capacity/src/table.rs
+++ b/crates/capacity/src/table.rs
@@ -181,7 +181,7 @@
             by: "changes of the list, each taken in by itself",
             ..sum().add("changing_idle_percent", "servers", servers, 1.0)?.row(
                 "limiter",
-                "processor for control while the list changes",
+                "processor for control while the list changes, words apart",
                 Some(control.cpu_percent),
                 "% of a core",
             )
@@ -252,6 +252,20 @@
             row
         },
     ];
+    rows.push(open(
+        "limiter",
+        "processor for words",
+        None,
+        "% of a core",
+        "not split from requests: a process that two of its kind answer would tell",
+    ));
+    rows.push(open(
+        "limiter",
+        "time added where the nearest server stands in another region",
+        Some(size.traffic.added_ms),
+        "ms",
+        "a tier in each region and no server of another in its list: an arrangement; one tier over regions opens connections to all of them",
+    ));
     let spread_s = (tier * SPREAD_MS / 1000.0).min(MOST_SPREAD_S);
     rows.push(told(
         "caller of discovery",
