Prefetch: ready no sooner than its ceilings fill; what is looked at is never due at once

Cause, found on reading again: with units held ahead a starting keeper's ceilings fill 2.5 s later, and readiness still counted from the start, so that firms under a ceiling would be let in to be refused. And a held part that stays for another reason could, by a later change, be due at the moment it was looked at, for ever.

Off, nothing differs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -118,7 +118,7 @@
         let fill_ms = |p: &Plan| 1000.0 * (p.ceiling_burst + p.ceiling_slack) / p.ceiling_rate;
         let ceiled = self.settings.plans.iter().filter(|p| p.ceiling_rate > 0.0);
         let longest = ceiled.map(|p| GRANT_MS + fill_ms(p)).fold(0.0, f64::max).min(MOST_SETTLE_MS);
-        self.joined || !self.settings.may_tell || now - self.born >= longest
+        self.joined || !self.settings.may_tell || now - self.ceilings_from() >= longest
     }
 
     /// Servers of the list that get nothing now if it can be helped: set aside, or silent.
--- a/src/prefetch.rs
+++ b/src/prefetch.rs
@@ -33,8 +33,6 @@
 /// An ask ahead without its word is repeated after so long, and after so long is lost, or its keeper is.
 const REPEAT_MS: Millis = 100.0;
 const LOST_MS: Millis = 500.0;
-/// Messages of the allowance that are kept for asks on which a request waits, and for those and asks ahead: what was
-/// spent is told when there are more.
 /// Share of the quota's store that must be left, as last told, for a member to spend its own part unasked: its keeper's
 /// words come often, and a wait costs more here than a little sent beyond a quota.
 const ROOM_PART: f64 = 0.2;
@@ -45,7 +43,10 @@
 const PLENTY: (f64, Millis) = (0.5, 1000.0);
 /// Units that lapse sooner are not counted on: an ask for others is on its way by then.
 const SOON_MS: Millis = 60.0;
+/// Seconds of the allowance that lines of customers not seen before may fill.
 const STRANGERS_S: f64 = 0.5;
+/// Messages of the allowance that must be left beside the one to go, for asks that a request waits on, for asks ahead, and
+/// for what has been spent: that is told when there are more.
 const RESERVE: [f64; 3] = [0.0, 1.0, 2.0];
 /// Least time between two looks at a customer, and for how long one is looked at after its last request.
 const LOOK_MS: (Millis, Millis) = (100.0, HELD_MS);
@@ -466,7 +467,8 @@
                 p.held.remove(&customer);
             } else {
                 let lapses = held.parts.iter().map(|part| part.until).fold(now + LOST_MS, f64::min);
-                held.look = if wanted { now + LOOK_MS.0 } else { lapses };
+                // Never at once: what is retained for another reason must not be looked at for ever.
+                held.look = if wanted { now + LOOK_MS.0 } else { lapses.max(now + 1.0) };
                 p.looks.push(Reverse((held.look.to_bits(), customer)));
             }
             for (keeper, done) in back {
--- a/src/prefetch/tests.rs
+++ b/src/prefetch/tests.rs
@@ -130,6 +130,19 @@
     assert_eq!(from_start(true, GRANT_MS + HELD_MS), from_start(false, GRANT_MS));
 }
 
+/// Clients come no sooner than the ceilings can have begun to fill, as without it.
+#[test]
+fn it_is_ready_as_much_later_as_its_ceilings_fill() {
+    let ready_ms = |on: bool| {
+        let mut limiter = Limiter::new(settings(0), 1, BEGAN).expect("legal settings");
+        if on {
+            limiter.prefetch(100);
+        }
+        (0..200).map(|n| 100.0 * f64::from(n)).find(|ms| limiter.settled(BEGAN + ms)).expect("it gets ready")
+    };
+    assert_eq!(ready_ms(true), ready_ms(false) + HELD_MS);
+}
+
 /// A member whose keeper is another.
 fn member() -> Limiter {
     let position = (first_keeper() + 1) % 3;
