Calls that fail for a moment: short reads, EINTR, aborted accepts, a start and a reload

Cause, each shown by a test that failed before (marldeal/tests/failing_calls.rs, calls made to fail by the shim): - tokio's own reads and writes clear a socket's readiness after a call that moved fewer bytes than asked for; where the call came short for another reason the rest was never heard of, and the request or answer stayed half read (tapped.rs); - EINTR from recv, send or accept ended the connection, or cut another one; - each failed accept, ECONNABORTED too, cut the connection worth least, also one in the middle of its request (front/clients.rs); - a socket, bind or open that failed at the start ended the process (run.rs, settings/config.rs); - a configuration that could not be opened, or was half written, when SIGHUP came was never read again (driver.rs, reload).

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -23,6 +23,7 @@
 use tracing::info;
 
 use crate::payload::{Payload, Piece};
+use crate::reload::Turn;
 use crate::settings::config::Config;
 use crate::settings::roster::{self, News, Sources, MOST_SERVERS};
 use crate::tapped::{Shared, Unread};
@@ -442,20 +443,35 @@
         self.state.borrow().engine.flooding()
     }
 
-    /// Reads the configuration again; of what it says only where discovery is can change while serving. One
-    /// that makes no sense changes nothing.
-    pub fn reload(&self) {
-        let new = Config::reloaded();
-        let mut reloads = self.reloads.get();
-        *(if new.is_ok() { &mut reloads.applied } else { &mut reloads.rejected }) += 1;
-        self.reloads.set(reloads);
-        match new {
-            Ok(new) if self.sources.turn_to(new.discovery) => {
-                info!("reload: discovery is at {} now", new.discovery);
+    /// Reads the configuration again; of what it says only where discovery is can change while serving. One that cannot be
+    /// read, or makes no sense, changes nothing: false. What is counted is signals, not readings.
+    pub fn reload(&self, turn: Turn) -> bool {
+        let new = match Config::reloaded() {
+            Ok(new) => new,
+            Err(why) => {
+                if turn == Turn::First {
+                    self.count_reload(|reloads| reloads.rejected += 1);
+                    info!(
+                        event = "reload",
+                        read = false,
+                        "reload: {why}; the old configuration stands, and it is tried again"
+                    );
+                }
+                return false;
             }
-            Ok(_) => info!("reload: nothing new"),
-            Err(why) => info!("reload: {why}; the old configuration stands"),
+        };
+        self.count_reload(|reloads| reloads.applied += 1);
+        match self.sources.turn_to(new.discovery) {
+            true => info!(event = "reload", read = true, "reload: discovery is at {} now", new.discovery),
+            false => info!(event = "reload", read = true, "reload: nothing new"),
         }
+        true
+    }
+
+    fn count_reload(&self, count: impl Fn(&mut Reloads)) {
+        let mut reloads = self.reloads.get();
+        count(&mut reloads);
+        self.reloads.set(reloads);
     }
 
     /// A peer has told something.
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -30,6 +30,7 @@
 use crate::front::head::{self, Layout};
 use crate::payload::{self, Payload, Progress, Refused, Reply, Watched, STILL};
 use crate::tapped::{Shared, Tap, Tapped};
+use crate::transient;
 use crate::upgrade::{Heir, Passed};
 
 /// Longest head of a request.
@@ -47,6 +48,10 @@
 /// its next request is taken up: answers to the flood then take a fifth or so of the core, and usual firms' requests do
 /// not wait behind all of them in each turn.
 const REST_EACH: Duration = Duration::from_micros(80);
+/// Accepting that fails for want of descriptors is tried again after this time; until it has failed for so long the want may
+/// pass by itself.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
+const ACCEPT_PATIENCE: Duration = Duration::from_millis(100);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
 /// Connections that are turned away at once while this process ends, and how long one of them may take to ask.
@@ -268,7 +273,7 @@
     tokio::task::spawn_local(async move { sweeping.sweep(&lives).await });
     let mut listener = Some(listener);
     let mut number = 0u64;
-    let mut failing = false;
+    let mut failing: Option<Instant> = None;
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
     let (mut away, mut last) = (false, None);
@@ -316,17 +321,22 @@
             accepted = accept, if room => match accepted {
                 Ok((stream, _)) => {
                     number += 1;
-                    failing = false;
+                    failing = None;
                     open(driver, &clients, number, stream, None);
                 }
-                // Out of descriptors, or the client has gone already: an idle connection makes way, and what
-                // waits to be accepted is taken a little later.
+                // The connection was aborted, or the call interrupted: the next one may do.
+                Err(e) if !transient::is_want(&e) => tokio::task::yield_now().await,
+                // Out of descriptors: what waits to be accepted is taken a little later, and where that does not pass by
+                // itself an idle connection makes way.
                 Err(e) => {
-                    if !std::mem::replace(&mut failing, true) {
-                        info!("accept: {e}");
+                    let since = *failing.get_or_insert_with(|| {
+                        info!(event = "accept", "accept: {e}");
+                        Instant::now()
+                    });
+                    if since.elapsed() >= ACCEPT_PATIENCE {
+                        clients.evict();
                     }
-                    clients.evict();
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    tokio::time::sleep(ACCEPT_AGAIN).await;
                 }
             },
             why = &mut stop, if !stopped => {
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -20,7 +20,7 @@
 use crate::upgrade::{Heir, Meeting};
 use crate::upstream::discovery;
 use crate::upstream::servers::Servers;
-use crate::{logging, management, upgrade};
+use crate::{logging, management, reload, transient, upgrade};
 
 /// Runs a limiter as the environment configures it, with what a file switches on beside.
 ///
@@ -32,14 +32,16 @@
         std::env::var("MARLDEAL_PLANTED").ok().and_then(|f| fawnhill::planted::Fault::named(&f)),
     );
     let inherited = upgrade::inherit::listener()?;
-    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    let runtime = transient::retried_blocking(|| {
+        Builder::new_current_thread().enable_all().build_local(LocalOptions::default())
+    });
     runtime.map_err(|e| format!("cannot start: {e}"))?.block_on(serve(extensions, inherited))
 }
 
 /// Serves until SIGTERM or SIGINT, then finishes what was taken.
 async fn serve(extensions: Option<&Path>, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     // Before all else: until it is handled, a SIGHUP ends the program.
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let config = Arc::new(Config::from_environment()?);
@@ -73,7 +75,8 @@
         info!("holds units of quotas ahead of need for up to {most} customers");
     }
     if !beside {
-        let mail = driver.open_mail().await.map_err(|e| format!("peer_listen: {e}"))?;
+        let mail =
+            transient::retried(|| driver.open_mail()).await.map_err(|e| format!("peer_listen: {e}"))?;
         if let Some(mail) = mail {
             tokio::task::spawn_local(peers::listen(driver.clone(), mail));
         }
@@ -112,12 +115,7 @@
             None => drop(tokio::task::spawn_local(upgrade::offer(driver, at))),
         }
     }
-    let reloading = driver.clone();
-    tokio::task::spawn_local(async move {
-        while hangup.recv().await.is_some() {
-            reloading.reload();
-        }
-    });
+    tokio::task::spawn_local(reload::on_hangup(driver.clone(), hangup));
     let stopping = stop.clone();
     let signalled = async move {
         let why = tokio::select! {
@@ -137,5 +135,5 @@
 }
 
 async fn listen(at: std::net::SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))
+    transient::retried(|| TcpListener::bind(at)).await.map_err(|e| format!("cannot listen on {at}: {e}"))
 }
--- a/marldeal/src/settings/config.rs
+++ b/marldeal/src/settings/config.rs
@@ -9,6 +9,7 @@
 
 use crate::settings::mistakes::{self, Mistake};
 use crate::settings::roster::List;
+use crate::transient;
 
 /// The configuration as the platform writes it.
 #[derive(Deserialize)]
@@ -160,24 +161,37 @@
 impl Config {
     /// Reads the environment at a start. The error is one plain line.
     pub fn from_environment() -> Result<Config, String> {
-        Config::read(variable)
+        Config::read(variable, |path| transient::retried_blocking(|| std::fs::read_to_string(path)))
     }
 
     /// Reads the file again. `ROUTER_DISCOVERY` tells of the start: only the file can name another address.
     pub fn reloaded() -> Result<Config, String> {
-        Config::read(|name| if name == "ROUTER_DISCOVERY" { None } else { variable(name) })
+        let var = |name: &str| if name == "ROUTER_DISCOVERY" { None } else { variable(name) };
+        Config::read(var, |path| std::fs::read_to_string(path))
     }
 
-    fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    fn read(
+        var: impl Fn(&str) -> Option<String>,
+        open: impl Fn(&str) -> std::io::Result<String>,
+    ) -> Result<Config, String> {
         let path = var("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-        Config::from_file(&path, var).map_err(|mistakes| mistakes::one_line(&mistakes))
+        let text = open(&path).map_err(|e| mistakes::one_line(&[Mistake::new(&path, "", e.to_string())]))?;
+        Config::from_text(&path, &text, var).map_err(|mistakes| mistakes::one_line(&mistakes))
     }
 
     /// Reads one file, with `var` above what it says of name, addresses. All mistakes at once.
     pub fn from_file(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, Vec<Mistake>> {
+        let text = std::fs::read_to_string(path).map_err(|e| vec![Mistake::new(path, "", e.to_string())])?;
+        Config::from_text(path, &text, var)
+    }
+
+    fn from_text(
+        path: &str,
+        text: &str,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, Vec<Mistake>> {
         let wrong = |key: &str, what: String| Mistake::new(path, key, what);
-        let text = std::fs::read_to_string(path).map_err(|e| vec![wrong("", e.to_string())])?;
-        let value = serde_json::from_str(&text).map_err(|e| vec![wrong("", e.to_string())])?;
+        let value = serde_json::from_str(text).map_err(|e| vec![wrong("", e.to_string())])?;
         let file: File = mistakes::gather(path, value)?;
         let mut found = Vec::new();
         let mut pick = |own: Option<String>, name: &str, key: &str| {
--- a/marldeal/src/tapped.rs
+++ b/marldeal/src/tapped.rs
@@ -50,13 +50,14 @@
     pub fn unread(&self) -> Unread {
         let stream = self.0.borrow();
         let Some(stream) = &*stream else { return Unread::Over };
-        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(0) => Unread::Over,
-            Ok(_) => Unread::Bytes,
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
-                Unread::Nothing
-            }
-            Err(_) => Unread::Over,
+        loop {
+            return match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+                Ok(0) => Unread::Over,
+                Ok(_) => Unread::Bytes,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+                Err(_) => Unread::Over,
+            };
         }
     }
 
@@ -76,39 +77,55 @@
         self.0.borrow_mut().take()
     }
 
-    fn with<T>(&self, what: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        match &mut *self.0.borrow_mut() {
-            Some(stream) => what(Pin::new(stream)),
-            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+    /// Makes a call once the socket is ready for it, until it neither finds it busy nor is interrupted. The event loop's own
+    /// calls take one that moves fewer bytes than asked for as a sign that nothing more lies there (epoll(7)); that holds
+    /// for Linux as it is, and not where a call comes short for another reason: the rest would never be heard of.
+    fn once_ready<T>(
+        &self,
+        mut ready: impl FnMut(&TcpStream) -> Poll<io::Result<()>>,
+        mut call: impl FnMut(&TcpStream) -> io::Result<T>,
+    ) -> Poll<io::Result<T>> {
+        let stream = self.0.borrow();
+        let Some(stream) = &*stream else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
+        loop {
+            std::task::ready!(ready(stream))?;
+            match call(stream) {
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+                done => return Poll::Ready(done),
+            }
         }
     }
 }
 
 impl AsyncRead for Shared {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_read(cx, to))
+        self.once_ready(|s| s.poll_read_ready(cx), |s| s.try_read_buf(to).map(drop))
     }
 }
 
 impl AsyncWrite for Shared {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.with(|stream| stream.poll_write(cx, data))
+        self.once_ready(|s| s.poll_write_ready(cx), |s| s.try_write(data))
     }
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.with(|stream| stream.poll_write_vectored(cx, data))
+        self.once_ready(|s| s.poll_write_ready(cx), |s| s.try_write_vectored(data))
     }
     fn is_write_vectored(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(TcpStream::is_write_vectored)
     }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_flush(cx))
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket holds nothing back.
+        Poll::Ready(self.0.borrow().as_ref().map(drop).ok_or_else(|| io::ErrorKind::NotConnected.into()))
     }
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.with(|stream| stream.poll_shutdown(cx))
+        match &mut *self.0.borrow_mut() {
+            Some(stream) => Pin::new(stream).poll_shutdown(cx),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
     }
 }
 
--- a/marldeal/src/upstream/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -16,6 +16,7 @@
 
 use crate::driver::Driver;
 use crate::settings::roster::{news, List};
+use crate::tapped::Shared;
 use crate::upstream::asking::Asking;
 use crate::upstream::framing::{Word, Words};
 use crate::upstream::resumption::{Call, Millis, Resumption, Step, Whom};
@@ -192,7 +193,8 @@
 /// One call, until its answer begins.
 async fn ask(addr: SocketAddr, after: Option<u64>) -> Result<(Abort, Incoming), String> {
     let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(Shared::new(stream))).await.map_err(|e| e.to_string())?;
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
     let task = Abort(task.abort_handle());
     let path = match after {
--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -27,12 +27,10 @@
 use crate::payload::{Outgoing, Piece, Progress, Watched, MOST_WHOLE, STILL};
 use crate::settings::config::Config;
 use crate::tapped::{Shared, Tap, Tapped, Unread};
+use crate::transient;
 
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
-/// Errors of a connect that lie on this side: ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS.
-const OWN_FAULTS: [i32; 5] = [12, 23, 24, 99, 105];
-
 /// Most bytes read from a server at once: with one piece on its way, what a streamed answer takes.
 const MOST_READ: usize = 32 << 10;
 /// An answer of unknown length is held for so long to be read whole, so that a broken one can be tried again.
@@ -365,7 +363,7 @@
     let stream = match timeout(limit, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => stream,
         // Want of descriptors or ports here says nothing about the server: it must not count as silent.
-        Ok(Err(e)) if e.raw_os_error().is_some_and(|n| OWN_FAULTS.contains(&n)) => {
+        Ok(Err(e)) if transient::passes(&e) => {
             info!("connect: {e}");
             return Err(Outcome::NotSent);
         }
--- a/marldeal/tests/failing_calls.rs
+++ b/marldeal/tests/failing_calls.rs
@@ -3,10 +3,14 @@
 
 mod stubs;
 
+use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use stubs::*;
 
+const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
 fn numbered(n: usize) -> String {
     get("look", "").replace("c-1", &format!("c-{n}"))
 }
@@ -29,6 +33,64 @@
     }
 }
 
+/// Guards against a connection that ends, and a request that is lost with it, since a signal came during a call.
+#[test]
+fn interrupted_calls_end_no_connection() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let calls = FailingCalls { interrupted: 300, seed: 5, ..FailingCalls::default() };
+    let node = Node::failing(&[("s-1", &server, "active")], |c| c, &calls);
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    for n in 0..60 {
+        assert_eq!(exchange(&mut client, &numbered(n)).body, "fine", "request {n}");
+    }
+    assert_eq!(server.arrivals(), 60, "each went out once");
+}
+
+/// Guards against a client that is cut in the middle of its request since another one's connect was aborted: only a want of
+/// descriptors is mended by closing something.
+#[test]
+fn an_aborted_accept_cuts_nobody() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let calls = FailingCalls { accepts: 300, seed: 7, ..FailingCalls::default() };
+    let node = Node::failing(&[("s-1", &server, "active")], |c| c, &calls);
+    let mut slow = TcpStream::connect(node.addr).expect("connect");
+    let request = numbered(1);
+    let (first, rest) = request.split_at(40);
+    slow.write_all(first.as_bytes()).expect("write");
+    // Long enough for it to count as one that makes way.
+    std::thread::sleep(Duration::from_millis(700));
+    for n in 0..40 {
+        let mut other = TcpStream::connect(node.addr).expect("connect");
+        assert_eq!(exchange(&mut other, &numbered(100 + n)).body, "fine", "request {n}");
+    }
+    slow.write_all(rest.as_bytes()).expect("still open");
+    assert_eq!(read_answer(&mut slow).body, "fine");
+}
+
+/// Guards against a start that ends the process since a socket could not be had, or bound, for a moment.
+#[test]
+fn a_start_whose_first_sockets_fail_serves_all_the_same() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let calls = FailingCalls { first_sockets: 3, first_binds: 2, ..FailingCalls::default() };
+    let node = Node::failing(&[("s-1", &server, "active")], |c| c, &calls);
+    assert_eq!(ask(&node, &numbered(1)).body, "fine");
+}
+
+/// Connects that fail on this side: the request goes elsewhere, or once more, and no server is blamed.
+#[test]
+fn connects_that_fail_on_this_side_lose_nothing() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let calls = FailingCalls { connects: 300, seed: 11, ..FailingCalls::default() };
+    let node = Node::failing(&[("s-1", &server, "active")], |c| c, &calls);
+    let mut served = 0;
+    for n in 0..30 {
+        let answer = ask(&node, &numbered(n));
+        assert!([200, 429].contains(&answer.status), "request {n}: {}", answer.head);
+        served += usize::from(answer.status == 200);
+    }
+    assert!(served >= 25, "{served} of 30");
+}
+
 /// The configuration names a new place of discovery, and the limiter is told to read it just when it may open no file, as
 /// when descriptors run out for a moment. What the new place tells counts all the same. Guards against a limiter that stays
 /// with the old place for good.
@@ -67,3 +129,24 @@
     node.rewrite(&whole);
     wait_for("the new place", || ask(&node, &numbered(2)).body == "new");
 }
+
+/// Guards against answers that are lost where a connection to a server breaks in an unusual way.
+#[test]
+fn a_broken_connection_that_shows_as_a_timeout_is_a_broken_connection() {
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let calls = FailingCalls { broken: 100, seed: 13, ..FailingCalls::default() };
+    let node = Node::failing(&[("s-1", &server, "active")], |c| c, &calls);
+    for n in 0..60 {
+        let mut client = TcpStream::connect(node.addr).expect("connect");
+        let last = get("look", "Connection: close\r\n").replace("c-1", &format!("c-{n}"));
+        client.write_all(last.as_bytes()).expect("write");
+        let mut text = String::new();
+        // The limiter's own side of the client's connection may be the broken one: then it ends.
+        let _ = client.read_to_string(&mut text);
+        assert!(
+            text.is_empty() || text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 429"),
+            "{text}"
+        );
+    }
+    assert_eq!(ask(&node, READY).status, 200);
+}
