Slow start: a start that cannot be right counts from the moment it is told

Cause: Limiter::on_servers took 'now - started' for a server's age. With a wall clock that is an hour ahead a server that has just started counted as warm and got a full share; with one behind, or a server's ahead, it counted as cold for an hour. Change: src/slow_start.rs decides from when on a server is cold. A start in the future, one earlier than the one told before, and one over a minute old that is news count from now on. What can be right is taken as it is told.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod planted;
 pub mod policy;
 mod prefetch;
+mod slow_start;
 mod state;
 
 pub use interface::*;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,6 +11,7 @@
 use crate::message::{has_room, message, read_message, Ask, Done, Line, Word};
 use crate::planted::{self, Fault};
 use crate::prefetch::is_ahead;
+use crate::slow_start::Start;
 pub use crate::state::Limiter;
 use crate::state::*;
 
@@ -95,6 +96,8 @@
 const LEAST_CHOICES: f64 = 2.0;
 /// Factor on the time of one set aside or just tried, the last choice.
 const LAST_TIMES: f64 = 1e6;
+/// Lists that tell a new process how things have stood for long.
+const FIRST_LISTS: u32 = 2;
 /// Answers of a server within the pace time at which its own latency weighs as much as the usual one.
 const TRUST: f64 = 3.0;
 
@@ -854,18 +857,19 @@
     // ---- Servers ----
 
     fn on_servers(&mut self, whole: bool, entries: &[ServerEntry], out: &mut Vec<Action>) {
+        let starts: Vec<Start> = entries.iter().map(|e| self.start_of(e)).collect();
+        self.lists = self.lists.saturating_add(1);
         self.servers.retain(|id, _| !whole || entries.iter().any(|e| e.server == *id));
-        for e in entries {
+        for (e, start) in entries.iter().zip(starts) {
             if e.condition == Condition::Gone {
                 self.servers.remove(&e.server);
                 continue;
             }
             let now = self.now;
-            let cold = e.started > 0.0 && now - e.started < self.settings.cold_ms;
             let fresh = || Server::new(e.clone(), now, PACE_MS);
             let s = self.servers.entry(e.server.clone()).or_insert_with(fresh);
-            if cold && s.cold_from.is_none_or(|from| from < e.started) {
-                s.cold_from = Some(e.started);
+            if let Some(since) = start.cold_since(now, self.settings.cold_ms) {
+                s.cold_from = Some(since);
                 // Hundreds of limiters that each think one send harmless would push it over: each starts
                 // somewhere between none and one, so that they come one after the other.
                 s.cold = Store { level: self.rng.f64(), at: now };
@@ -876,6 +880,13 @@
         self.pump(out);
     }
 
+    /// What a line of the list says of its server's start. The first list of a process is the one that was handed to it, the
+    /// second discovery's first: what later ones tell for the first time is news.
+    fn start_of(&self, entry: &ServerEntry) -> Start {
+        let before = self.servers.get(&entry.server).map(|s| s.entry.started);
+        Start { told: entry.started, before, news: before.is_some() || self.lists >= FIRST_LISTS }
+    }
+
     /// How many servers are this limiter's own: each has some limiters whose own it is.
     fn choices(&self) -> usize {
         let all = self.order.len();
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,8 @@
     pub(crate) woke: Millis,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     pub(crate) order: Vec<ServerId>,
+    /// Lists taken in so far.
+    pub(crate) lists: u32,
     /// Attempts that were to be sent, whether a server could have them or not.
     pub(crate) wanted: Fading,
     /// Attempts a second that this limiter has for each server when all are there.
@@ -189,6 +191,7 @@
             woke: f64::NEG_INFINITY,
             servers: BTreeMap::new(),
             order: Vec::new(),
+            lists: 0,
             wanted: Fading::new(now, pace),
             pace: 0.0,
             fleet: 0.0,
