A test that fails: a drain told while the process stood still, requests beside it

The limiter is stopped for 1.3 s, its agent tells of the drain at once, and clients ask; on waking all of that lies there together.

--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -386,3 +386,79 @@
     );
     assert_eq!(node.exit_code(), Some(0));
 }
+
+/// Processes that stood still, and what came for them meanwhile.
+fn stopped(node: &Bare, meanwhile: impl FnOnce()) {
+    node.signal("STOP");
+    // Until it stands, a signal may still find it at work.
+    std::thread::sleep(Duration::from_millis(50));
+    meanwhile();
+    node.signal("CONT");
+}
+
+/// The limiter stands still for longer than the grace; meanwhile its agent tells that a server drains, and requests come.
+/// On waking all of that lies there at once. Guards against requests that are read and sent on before the list is read.
+#[test]
+fn a_drain_told_while_the_process_stood_still_is_kept() {
+    for turn in 0..6 {
+        let (addr, calls) = agent();
+        let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+        let node = Bare::start(addr, |c| c);
+        let list = line(2, true, &[("s-1", server.addr, "active")]);
+        let mut watches = answer_until(&calls, &list, || readiness(&node) == 200);
+        let mut clients: Vec<_> = (0..8).map(|_| TcpStream::connect(node.addr).expect("connect")).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            let request = get("look", "").replace("c-1", &format!("c-{turn}-{n}"));
+            assert_eq!(exchange(client, &request).body, "fine");
+        }
+        // Idle connections rest a little before they are used again.
+        std::thread::sleep(Duration::from_millis(50));
+        let before = server.arrivals();
+        stopped(&node, || {
+            for (n, client) in clients.iter_mut().enumerate() {
+                let request = get("look", "")
+                    .replace("c-1", &format!("d-{turn}-{n}"))
+                    .replace("Left: 3.0", "Left: 9.0");
+                client.write_all(request.as_bytes()).expect("write");
+            }
+            for watch in &mut watches {
+                say(watch, &line(3, false, &[("s-1", server.addr, "leaving")]));
+            }
+            std::thread::sleep(Duration::from_millis(1300));
+        });
+        for client in &mut clients {
+            assert_eq!(read_answer(client).status, 429);
+        }
+        assert_eq!(server.arrivals(), before, "nothing new, turn {turn}");
+    }
+}
+
+/// Clients ask and leave while the limiter stands still. Guards against attempts for nobody: what it reads on waking looks new,
+/// and the close lies behind it.
+#[test]
+fn a_client_that_left_while_the_process_stood_still_gets_no_attempt() {
+    for turn in 0..6 {
+        let (addr, calls) = agent();
+        let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+        let node = Bare::start(addr, |c| c);
+        let list = line(2, true, &[("s-1", server.addr, "active")]);
+        let _watches = answer_until(&calls, &list, || readiness(&node) == 200);
+        let mut clients: Vec<_> = (0..8).map(|_| TcpStream::connect(node.addr).expect("connect")).collect();
+        for (n, client) in clients.iter_mut().enumerate() {
+            let request = get("look", "").replace("c-1", &format!("c-{turn}-{n}"));
+            assert_eq!(exchange(client, &request).body, "fine");
+        }
+        std::thread::sleep(Duration::from_millis(50));
+        let before = server.arrivals();
+        stopped(&node, || {
+            for (n, mut client) in clients.drain(..).enumerate() {
+                let request = post("book", &format!("{turn}-{n}"), "", "x").replace("Left: 3.0", "Left: 9.0");
+                client.write_all(request.as_bytes()).expect("write");
+            }
+            std::thread::sleep(Duration::from_millis(400));
+        });
+        assert_eq!(readiness(&node), 200);
+        std::thread::sleep(Duration::from_millis(100));
+        assert_eq!(server.arrivals(), before, "nothing for those who left, turn {turn}");
+    }
+}
