Permission to send: asked at the last moment of one module, after a pause once the list is read

Cause of the drain that was not kept: after a pause the event loop wakes everything at once, in no order that follows time; a request was read, decided on and written before the watch with the notice was read (upstream/servers.rs, exchange, which asked only for what the list had said so far). Change: crates/permit decides, without I/O, whether an attempt may go out, be repeated, a connection be closed or accepted; it names what has to be looked at first (the client, the list). The driver asks it right before the bytes go out and again after a connection came up; the module's own question about repeats goes to the same place.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -1,7 +1,9 @@
 //! The host of the engine: gives it the time and does what it asks. Owns neither clients' nor servers' sockets.
 
+mod permission;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +19,7 @@
 use marldeal_lifecycle::pauses::Pauses;
 use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
 use marldeal_outcomes::{Found, Question, Record};
+use marldeal_permit::violation::Violations;
 use marldeal_snapshot::{Belief, Grade, Snapshot};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
@@ -26,7 +29,7 @@
 use crate::reload::Turn;
 use crate::settings::config::Config;
 use crate::settings::roster::{self, News, Sources, MOST_SERVERS};
-use crate::tapped::{Shared, Unread};
+use crate::tapped::Shared;
 
 /// Time in milliseconds: Unix time at the start, then the steady clock. Discovery's start times need no
 /// conversion, and a limiter that starts again never sees a moment twice.
@@ -77,10 +80,12 @@
     pub budget_ms: f64,
     /// How long its final answer is kept by its key, in milliseconds; nothing for one that is not.
     pub keep_ms: Option<f64>,
-    /// How long servers drop its repeats, counted from when it first went out; infinite where that does not matter.
-    pub window_ms: f64,
-    /// When it first went out.
-    pub first_out: Cell<Option<f64>>,
+    /// What a second execution would do.
+    pub effect: marldeal_permit::Effect,
+    /// When the first attempt that may have run went out.
+    pub may_have_run: Cell<Option<f64>>,
+    /// When the present attempt went out.
+    pub sent: Cell<Option<f64>>,
 }
 
 impl Content {
@@ -120,18 +125,16 @@
     content: Rc<Content>,
     answer: oneshot::Sender<Answer>,
     client: Shared,
-    taken: f64,
+    /// When its client was last seen to be connected.
+    seen: Cell<f64>,
 }
 
-/// A request that has waited for so long may have outlived its client without the event loop's knowledge: after a pause, or
-/// behind a full turn, what is due can come before word of the close. Shorter waits cost no look.
-const LOOK_MS: f64 = 50.0;
-
-impl Direct {
-    /// Its client has left while it waited.
-    fn abandoned(&self, now: f64) -> bool {
-        now - self.taken > LOOK_MS && self.client.unread() == Unread::Over
-    }
+/// An attempt that is out.
+struct Out {
+    /// Calls it off.
+    cancel: oneshot::Sender<Outcome>,
+    /// It is given up then; infinite where a body goes on as it comes.
+    end: f64,
 }
 
 /// What a stream of a proxy is told.
@@ -158,8 +161,7 @@
     /// Keeps its room from call to call.
     spare: Vec<Output>,
     direct: HashMap<RequestId, Direct>,
-    /// Calls off each attempt that is out.
-    out: HashMap<(RequestId, u32), oneshot::Sender<Outcome>>,
+    out: HashMap<(RequestId, u32), Out>,
     addresses: HashMap<ServerId, SocketAddr>,
     /// When the engine is to be called again, as last told to the timers.
     armed: Option<f64>,
@@ -207,6 +209,11 @@
     /// The module wants the list anew; how often it has asked for all of it. Each watch hears of it, whatever it is at.
     pub list_wanted: watch::Sender<u64>,
     told: Cell<bool>,
+    /// The sockets over which sources of the list are watched, by the sources' numbers.
+    watches: RefCell<BTreeMap<u32, Shared>>,
+    /// All that discovery had told by then has been read, also what came while the process stood still.
+    list_read: Cell<f64>,
+    violations: Cell<Violations>,
     life: RefCell<Lifecycle>,
     /// Whether the process stood still of late.
     pauses: RefCell<Pauses>,
@@ -236,8 +243,6 @@
 
 /// A list that was handed over at the start counts as good after this long without word from discovery.
 const UNTOLD_MS: f64 = 2000.0;
-/// Share of the shortest aim for which a request may wait for that word.
-const WORD_PART: f64 = 0.25;
 
 impl Driver {
     /// A limiter with the list of servers that it last had; `beside` one that serves in its place still.
@@ -265,6 +270,9 @@
             config,
             list_wanted: watch::Sender::new(0),
             told: Cell::new(false),
+            watches: RefCell::default(),
+            list_read: Cell::new(f64::NEG_INFINITY),
+            violations: Cell::default(),
             life: RefCell::new(life),
             pauses: RefCell::default(),
             phase_changed: Notify::new(),
@@ -306,17 +314,6 @@
         able
     }
 
-    /// Connections may be accepted: discovery has told what its agent has, which counts from the first moment on, or had its
-    /// chance. Until then a request would go by the list that was known last, to servers that may have drained since. What
-    /// waits in the queue meanwhile must still be served in time. A registry that is asked for its list is not waited for:
-    /// what it has counts once it has told it.
-    pub fn informed(&self) -> bool {
-        let settings = &self.config.settings;
-        let aims = settings.classes.iter().map(|class| class.aim_ms);
-        let most_ms = UNTOLD_MS.min(aims.fold(f64::INFINITY, f64::min) * WORD_PART);
-        self.told.get() || settings.must_subscribe || self.since_start_ms() > most_ms
-    }
-
     fn since_start_ms(&self) -> f64 {
         self.clock.began.elapsed().as_secs_f64() * 1000.0
     }
@@ -558,8 +555,8 @@
             self.input(&mut state, Input::Uploading { id });
         }
         let (answer, answered) = oneshot::channel();
-        let taken = self.now();
-        state.direct.insert(id, Direct { content: Rc::new(content), answer, client, taken });
+        let seen = Cell::new(self.now());
+        state.direct.insert(id, Direct { content: Rc::new(content), answer, client, seen });
         self.perform(&mut state, None);
         Some((id, answered))
     }
@@ -580,12 +577,6 @@
         (class.effect == Effect::Keyed && self.record.borrow().is_some()).then_some(class.window_ms)
     }
 
-    /// How long servers drop repeats of a request.
-    pub fn window_ms(&self, request: &Request) -> f64 {
-        let class = self.config.settings.classes.get(request.class).filter(|c| c.effect == Effect::Keyed);
-        class.map_or(f64::INFINITY, |c| c.window_ms)
-    }
-
     /// The answer that there was to this very request, asked before under its key.
     pub fn recorded(&self, content: &Content) -> Option<Bytes> {
         content.keep_ms?;
@@ -600,6 +591,7 @@
     /// An attempt's last byte has been written.
     pub fn written(self: &Rc<Self>, id: RequestId, attempt: u32) {
         let mut state = self.state.borrow_mut();
+        self.check_written(&state, id, attempt);
         self.input(&mut state, Input::Written { id, attempt });
         self.perform(&mut state, None);
     }
@@ -633,12 +625,6 @@
         }
     }
 
-    /// Somebody waits for this request at this moment. What has not gone out when its client leaves goes out no more, also
-    /// where it would take effect: the client's next try decides.
-    pub fn awaited(&self, id: RequestId) -> bool {
-        self.state.borrow().direct.get(&id).is_some_and(|direct| !direct.abandoned(self.now()))
-    }
-
     /// Where a server listens, if it takes work at this moment.
     pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
         let state = self.state.borrow();
@@ -649,6 +635,10 @@
     /// the client; one for a request that is over is dropped.
     pub fn ended(self: &Rc<Self>, job: &Job, outcome: Outcome, body: Option<Bytes>) {
         let (id, attempt) = (job.id, job.attempt);
+        if let Some(sent) = job.content.sent.take().filter(|_| permission::may_have_run(outcome)) {
+            let first = job.content.may_have_run.get().unwrap_or(sent);
+            job.content.may_have_run.set(Some(first));
+        }
         // Also where the client has left: its next try under the key gets this answer.
         if let (Outcome::Ok, Some(body), Some(keep_ms)) = (outcome, &body, job.content.keep_ms) {
             if let (Some(record), Some(question)) = (&mut *self.record.borrow_mut(), job.content.question()) {
@@ -733,20 +723,14 @@
             match output {
                 Output::Send { id, attempt, server, end } => {
                     let Some(direct) = state.direct.get(&id) else { continue };
-                    if direct.abandoned(self.now()) {
-                        state.direct.remove(&id);
-                        self.input(state, Input::Gone { id });
-                        self.input(state, Input::ended(id, attempt, Outcome::NotSent));
-                        continue;
-                    }
                     let job = Job { id, attempt, server, content: direct.content.clone(), end };
                     let (cancel, cancelled) = oneshot::channel();
-                    state.out.insert((id, attempt), cancel);
+                    state.out.insert((id, attempt), Out { cancel, end });
                     self.upstream.start(self.clone(), job, cancelled);
                 }
                 Output::Stop { id, attempt, how } => {
-                    if let Some(cancel) = state.out.remove(&(id, attempt)) {
-                        let _ = cancel.send(how);
+                    if let Some(out) = state.out.remove(&(id, attempt)) {
+                        let _ = out.cancel.send(how);
                     }
                 }
                 // A client that has left meanwhile gets no answer.
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -535,8 +535,9 @@
         body,
         budget_ms: read.request.budget_ms,
         keep_ms: driver.keep_ms(&read.request),
-        window_ms: driver.window_ms(&read.request),
-        first_out: Cell::new(None),
+        effect: driver.effect(&read.request),
+        may_have_run: Cell::new(None),
+        sent: Cell::new(None),
     };
     if let Some(body) = driver.recorded(&content) {
         driver.count(|ledger| ledger.passed(read.request.class, End::Succeeded));
--- a/marldeal/src/upstream/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -77,6 +77,13 @@
     _connection: Abort,
 }
 
+/// A call that was answered.
+struct Answered {
+    connection: Abort,
+    body: Incoming,
+    socket: Shared,
+}
+
 /// Keeps one source watched from the last version on. The one that serves no more is left when its watch ends, or when a
 /// newer one has told its list.
 async fn keep(driver: Rc<Driver>, mut source: Source) {
@@ -90,6 +97,9 @@
     let mut watch: Option<Watch> = None;
     let mut said = String::new();
     loop {
+        if watch.is_none() {
+            driver.watched_over(source.number, None);
+        }
         while let Some(step) = machine.step(now()) {
             match step {
                 Step::Begin(call) => {
@@ -118,9 +128,10 @@
                 let Ok((call, answer)) = done else { continue };
                 waiting.remove(&call);
                 match answer {
-                    Ok((connection, body)) => {
+                    Ok(Answered { connection, body, socket }) => {
                         if machine.answered(now(), call) {
                             said.clear();
+                            driver.watched_over(source.number, Some(socket));
                             watch = Some(Watch { call, body, words: Words::default(), _connection: connection });
                         }
                     }
@@ -146,6 +157,7 @@
             () = tokio::time::sleep_until(due.into()) => None,
         };
         if driver.sources.told.get() > source.number {
+            driver.watched_over(source.number, None);
             return info!("discovery: another source speaks; {} is watched no more", source.addr);
         }
         if let Some(why) = why {
@@ -191,12 +203,13 @@
 }
 
 /// One call, until its answer begins.
-async fn ask(addr: SocketAddr, after: Option<u64>) -> Result<(Abort, Incoming), String> {
+async fn ask(addr: SocketAddr, after: Option<u64>) -> Result<Answered, String> {
     let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(Shared::new(stream))).await.map_err(|e| e.to_string())?;
+    let socket = Shared::new(stream);
+    let wire = TokioIo::new(socket.clone());
+    let (mut sender, connection) = http1::handshake(wire).await.map_err(|e| e.to_string())?;
     let task = tokio::task::spawn_local(async move { drop(connection.await) });
-    let task = Abort(task.abort_handle());
+    let connection = Abort(task.abort_handle());
     let path = match after {
         Some(v) => format!("/api/targets?watch=1&after={v}"),
         None => "/api/targets?watch=1".to_string(),
@@ -209,5 +222,5 @@
     if answer.status() != hyper::StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
     }
-    Ok((task, answer.into_body()))
+    Ok(Answered { connection, body: answer.into_body(), socket })
 }
--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -239,29 +239,25 @@
 }
 
 async fn exchange(servers: &Servers, driver: &Rc<Driver>, job: &Job) -> (Outcome, Option<Bytes>) {
+    if driver.permit(job).await.is_err() {
+        return (Outcome::NotSent, None);
+    }
     let Some(addr) = driver.address(&job.server) else { return (Outcome::NotSent, None) };
     let pooled = servers.pool.borrow_mut().take(&job.server);
     let mut link = match pooled {
         Some(link) => link,
         None => match connect(servers, driver, addr).await {
-            // So may the client's patience: what has not gone out when it leaves goes out no more.
-            Ok(_) if !driver.awaited(job.id) => return (Outcome::NotSent, None),
+            // The wait for a connection may have outlived whatever allowed the attempt.
+            Ok(_) if driver.permit(job).await.is_err() => return (Outcome::NotSent, None),
             Ok(link) => link,
             Err(outcome) => return (outcome, None),
         },
     };
-    // The wait for a connection may have outlived the server's readiness: nothing new goes to one that
-    // drains.
     if driver.address(&job.server) != Some(addr) {
         return (Outcome::NotSent, None);
     }
-    // So may the time of its client, while this process stood still, and that in which servers drop its repeats.
     let now = driver.now();
-    let first = job.content.first_out.get().unwrap_or(now);
-    if now >= job.end || (job.attempt > 0 && now - first >= job.content.window_ms) {
-        return (Outcome::NotSent, None);
-    }
-    job.content.first_out.set(Some(first));
+    job.content.sent.set(Some(now));
     let left_ms = (job.end - now).min(job.content.budget_ms);
     link.writing.begin(job);
     let Ok(request) = request(job, addr, left_ms, &link.writing) else { return (Outcome::NotSent, None) };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 //! The ordinary path is CASA's (`docs/design.md`): a quota gate, then cost-scaled slots under a moving limit.
 
 use marldeal_firms::Fate;
+use marldeal_permit::may_repeat;
 
 use crate::accounts::{even, part, GRANT_MS};
 use crate::firms::{keeper, most, MOST_TERMS, TOLD_MS};
@@ -309,13 +310,10 @@
         if request.out || request.streaming || late || spent {
             return false;
         }
-        match (class.effect, request.may_have_run) {
-            (_, None) | (Effect::Safe, _) => true,
-            (Effect::Unsafe, Some(_)) => planted::is(Fault::Effect),
-            (Effect::Keyed, Some((sent, ..))) => {
-                planted::is(Fault::Effect) || self.now - sent < class.window_ms - self.settings.round_ms
-            }
-        }
+        // A wake-up comes up to one round late.
+        let at = self.now + self.settings.round_ms;
+        let since = request.may_have_run.map(|(sent, ..)| sent);
+        planted::is(Fault::Effect) || may_repeat(at, repeated(class), since).is_ok()
     }
 
     /// Gives the final answer: a refusal where nothing can have run, else a failure that promises nothing.
@@ -1008,6 +1006,15 @@
     }
 }
 
+/// What a second execution of a class's request would do, in the terms of the permission.
+fn repeated(class: &Class) -> marldeal_permit::Effect {
+    match class.effect {
+        Effect::Safe => marldeal_permit::Effect::Safe,
+        Effect::Keyed => marldeal_permit::Effect::Keyed { window_ms: class.window_ms },
+        Effect::Unsafe => marldeal_permit::Effect::Unsafe,
+    }
+}
+
 /// A keyed request that may have run stays in the group of servers that drops its repeats.
 fn in_group(request: &Open, server: &Server, settings: &Settings) -> bool {
     let class = &settings.classes[request.request.class];
