The last connections of a process are answered; a stalled sender is read before it is cut

Cause: front/clients.rs returned from its loop as soon as the last time was over, whether or not something lay in the queue of connections or had just been accepted: what was written to it was reset by the exit. Change: at the end nobody can connect any more (a packet filter on the listener, where no other process shares it), the queue is taken in at once, and whoever came is waited for, 0.6 s at most. A stalled connection with unread bytes is kept once (permit::may_close). 64 late connections at a time in place of 16.

--- a/crates/permit/src/closing.rs
+++ b/crates/permit/src/closing.rs
@@ -18,6 +18,8 @@
     pub request_open: bool,
     /// Bytes that it has sent lie unread.
     pub unread: bool,
+    /// It was kept for that before, and has been read since.
+    pub reread: bool,
 }
 
 /// Why it stays open.
@@ -29,13 +31,15 @@
     Unread,
 }
 
-/// Whether a connection may be closed now. One that stalled has had its time: a sender that trickles would never end.
+/// Whether a connection may be closed now. What lies unread is read first: while the process stood still the rest of a request
+/// may have come. One that stalled is kept for that once, since a sender that trickles would never end.
 ///
 /// # Errors
 /// Why not.
 pub fn may_close(connection: Connection, why: Closing) -> Result<(), Kept> {
     match why {
         _ if connection.request_open => Err(Kept::AnswerOwed),
+        Closing::Stalled if connection.unread && !connection.reread => Err(Kept::Unread),
         Closing::Stalled => Ok(()),
         Closing::Idle | Closing::MakesWay if connection.unread => Err(Kept::Unread),
         Closing::Idle | Closing::MakesWay => Ok(()),
@@ -48,13 +52,14 @@
 
     #[test]
     fn what_is_owed_or_unread_keeps_a_connection_open() {
-        let of = |request_open, unread| Connection { request_open, unread };
+        let of = |request_open, unread| Connection { request_open, unread, reread: false };
         for why in [Closing::Idle, Closing::MakesWay, Closing::Stalled] {
             assert_eq!(may_close(of(true, false), why), Err(Kept::AnswerOwed));
             assert_eq!(may_close(of(false, false), why), Ok(()));
         }
         assert_eq!(may_close(of(false, true), Closing::Idle), Err(Kept::Unread));
         assert_eq!(may_close(of(false, true), Closing::MakesWay), Err(Kept::Unread));
-        assert_eq!(may_close(of(false, true), Closing::Stalled), Ok(()));
+        assert_eq!(may_close(of(false, true), Closing::Stalled), Err(Kept::Unread));
+        assert_eq!(may_close(Connection { reread: true, ..of(false, true) }, Closing::Stalled), Ok(()));
     }
 }
--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -21,7 +21,7 @@
 use marldeal_engine::ledger::End;
 use marldeal_lifecycle::worth::{self, Doing, Standing};
 use marldeal_lifecycle::{Command, Lifecycle, Phase};
-use marldeal_permit::{may_close, Closing, Connection};
+use marldeal_permit::{may_close, Closing, Connection, Kept};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{timeout, Instant};
@@ -29,6 +29,7 @@
 
 use crate::driver::{Answer, Content, Driver};
 use crate::front::head::{self, Layout};
+use crate::front::last;
 use crate::payload::{self, Payload, Progress, Refused, Reply, Watched, STILL};
 use crate::tapped::{Shared, Tap, Tapped, Unread};
 use crate::transient;
@@ -38,7 +39,7 @@
 const MOST_HEAD: usize = 16 << 10;
 /// A client that has sent a part of a head, or has connected and said nothing, is cut off after this time from the
 /// first byte on, however it trickles: the platform's slowest takes 2 s.
-const PART_TIME: Duration = Duration::from_millis(2400);
+const PART_TIME: Duration = Duration::from_millis(2300);
 /// One that has been answered and stays idle.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 /// How often that is seen to.
@@ -56,11 +57,12 @@
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
 /// Connections that are turned away at once while this process ends, and how long one of them may take to ask.
-const MOST_LATE: usize = 16;
+const MOST_LATE: usize = 64;
 const LATE_TIME: Duration = Duration::from_millis(400);
 /// Before the process ends it turns away for so long what still comes: clients whose request crossed the close of their
-/// connection come again on a new one.
+/// connection come again on a new one. Then nobody can connect any more, and whoever was accepted by then is waited for.
 const LAST_TIME: Duration = Duration::from_millis(100);
+const LAST_MOST: Duration = Duration::from_millis(700);
 /// A close waits so many turns of the event loop for what lies unread.
 const MOST_POSTPONED: u32 = 8;
 /// How often it is looked whether a client has left behind what it has sent beyond its open request.
@@ -98,6 +100,8 @@
     /// Close at once, and why.
     cut: Notify,
     closing: Cell<Closing>,
+    /// It stalled, and was kept since bytes lay unread.
+    reread: Cell<bool>,
     /// The last read brought nothing: the HTTP server has used up what came, and hears when the client closes. Bytes that
     /// it has left lie behind the open request, and it reads no further.
     drained: Cell<bool>,
@@ -123,6 +127,7 @@
             close: Notify::new(),
             cut: Notify::new(),
             closing: Cell::new(Closing::Idle),
+            reread: Cell::new(false),
             drained: Cell::new(false),
         }
     }
@@ -150,8 +155,11 @@
 
     /// Whether its connection may be closed at this moment.
     fn may_close(&self, socket: &Shared, why: Closing) -> bool {
-        let unread = || socket.unread() == Unread::Bytes;
-        may_close(Connection { request_open: self.busy.get(), unread: unread() }, why).is_ok()
+        let unread = socket.unread() == Unread::Bytes;
+        let connection = Connection { request_open: self.busy.get(), unread, reread: self.reread.get() };
+        let kept = may_close(connection, why).err();
+        self.reread.set(kept == Some(Kept::Unread));
+        kept.is_none()
     }
 
     /// Is told to end, and why.
@@ -278,6 +286,8 @@
     pub arrivals: mpsc::UnboundedReceiver<Passed>,
     /// To a successor.
     pub heir: Rc<Heir>,
+    /// No other process shares the listener.
+    pub own_listener: bool,
 }
 
 /// Accepts and serves until `stop`, then finishes what was taken and returns.
@@ -295,7 +305,7 @@
     let mut failing: Option<Instant> = None;
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
-    let (mut away, mut last) = (false, None);
+    let (mut away, mut last, mut shut_out) = (false, None, false);
     loop {
         let (phase, accepts) = (driver.phase(), driver.life(Lifecycle::accepts));
         let turns_away = driver.life(Lifecycle::turns_away);
@@ -325,9 +335,19 @@
         }
         closing = closes;
         if driver.life(|life, now| life.ends(now, clients.owe(), !clients.all.borrow().is_empty())) {
-            let since = *last.get_or_insert_with(Instant::now);
-            if listener.is_none() || since.elapsed() >= LAST_TIME {
-                return;
+            let since = last.get_or_insert_with(Instant::now).elapsed();
+            let Some(queue) = &listener else { return };
+            if since >= LAST_TIME {
+                if handover.own_listener && !std::mem::replace(&mut shut_out, true) {
+                    last::shut_out(queue);
+                }
+                for stream in last::in_queue(queue) {
+                    number += 1;
+                    open(driver, &clients, number, stream, None);
+                }
+                if clients.late() == 0 || since >= LAST_MOST {
+                    return;
+                }
             }
         }
         let accept = async {
--- a/marldeal/src/front/mod.rs
+++ b/marldeal/src/front/mod.rs
@@ -3,4 +3,5 @@
 pub mod clients;
 pub mod external;
 pub mod head;
+mod last;
 pub mod words;
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -56,6 +56,7 @@
         Some(path) => upgrade::predecessor(path).await,
         None => None,
     };
+    let own_listener = inherited.is_none();
     let listener = match inherited {
         Some(listener) => {
             let adopted = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
@@ -125,7 +126,8 @@
         let _ = stopping.send(true);
         why
     };
-    clients::serve(&driver, listener, Handover { arrivals, heir: heir.clone() }, signalled).await;
+    clients::serve(&driver, listener, Handover { arrivals, heir: heir.clone(), own_listener }, signalled)
+        .await;
     if let Some(proxies) = proxies {
         let _ = proxies.await;
     }
