A test that fails: a request in the queue of a start is taken for new

A limiter that starts accepts nobody before its agent's first word, for a quarter of the shortest aim at most; what lay in its queue by then counted as new.

--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -527,3 +527,25 @@
         assert_eq!(read_answer(client).body, "fine");
     }
 }
+
+/// A request lies in the queue of connections while its limiter starts and waits for its agent, which says nothing. Guards
+/// against a server that is told more time than the client has left, and against an answer after it.
+#[test]
+fn the_time_in_the_queue_of_a_start_counts() {
+    let (addr, _calls) = agent();
+    let server = Stub::new(|_, stream| write_ok(stream, "fine"));
+    let known = line(1, true, &[("s-1", server.addr, "active")]);
+    let node = Bare::start(addr, |c| {
+        c.replace(r#"{"version":1,"full":true,"servers":[]}"#, known.trim())
+            .replace(r#""AimMs":1000"#, r#""AimMs":9000"#)
+            .replace(r#""AimMs":2500"#, r#""AimMs":9000"#)
+    });
+    let began = Instant::now();
+    let mut client = TcpStream::connect(node.addr).expect("connect");
+    client.write_all(get("look", "").replace("Left: 3.0", "Left: 9.0").as_bytes()).expect("write");
+    assert_eq!(read_answer(&mut client).body, "fine");
+    let waited = began.elapsed().as_secs_f64();
+    let told: f64 = server.seen()[0].header("x-time-left").expect("a time").parse().expect("a number");
+    assert!(waited > 1.0, "the agent is waited for: {waited}");
+    assert!(told <= 9.0 - waited + 0.2, "told {told} s after {waited} s");
+}
