A request that waited in the queue of connections counts from when it may have come

Cause: front/clients.rs, open: a connection's life began when it was accepted. While a start waits for its agent, or there is no room, requests lie in the queue, and their clients' time runs. Change: the accept loop keeps since when connections may have waited; the first request of one that comes out of the queue has that much less time, unless its first byte comes more than 50 ms after the accept. Result: the test's server is told what is left; it was told 9 s after 2 s of waiting.

--- a/marldeal/src/front/clients.rs
+++ b/marldeal/src/front/clients.rs
@@ -54,6 +54,8 @@
 /// pass by itself.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(10);
 const ACCEPT_PATIENCE: Duration = Duration::from_millis(100);
+/// What lay in the queue with its connection is read within this after that is accepted.
+const READ_SOON: Duration = Duration::from_millis(50);
 /// How often it is seen whether there is room again, or an end to wait for.
 const TICK: Duration = Duration::from_millis(50);
 /// Connections that are turned away at once while this process ends, and how long one of them may take to ask.
@@ -84,6 +86,8 @@
     begun: Cell<Option<Instant>>,
     /// Its next request is taken up then.
     rest: Cell<Option<Instant>>,
+    /// It may have waited so long to be accepted, and its first request with it.
+    waited: Cell<Duration>,
     layout: Rc<Layout>,
     /// The same, or the last byte of its answer is still to be taken by the connection, or to be written.
     answering: Cell<bool>,
@@ -117,6 +121,7 @@
             spoke: Cell::new(false),
             begun: Cell::new(Some(now)),
             rest: Cell::new(None),
+            waited: Cell::new(Duration::ZERO),
             layout,
             answering: Cell::new(false),
             taken: Cell::new(true),
@@ -170,6 +175,10 @@
 
     /// Bytes have come: the first of a request, unless they are its body.
     fn heard(&self) {
+        // What comes only now did not wait with the connection.
+        if !self.spoke.get() && self.used.get().elapsed() > READ_SOON {
+            self.waited.set(Duration::ZERO);
+        }
         self.spoke.set(true);
         self.used.set(Instant::now());
         if !self.reading.get() && self.begun.get().is_none() {
@@ -303,6 +312,8 @@
     let mut listener = Some(listener);
     let mut number = 0u64;
     let mut failing: Option<Instant> = None;
+    // Since when connections may have waited in the queue: what comes out of it until it is empty may be as old.
+    let mut unaccepted = Some(Instant::now());
     tokio::pin!(stop);
     let (mut stopped, mut closing) = (false, false);
     let (mut away, mut last, mut shut_out) = (false, None, false);
@@ -343,25 +354,31 @@
                 }
                 for stream in last::in_queue(queue) {
                     number += 1;
-                    open(driver, &clients, number, stream, None);
+                    open(driver, &clients, number, stream, Before::default());
                 }
                 if clients.late() == 0 || since >= LAST_MOST {
                     return;
                 }
             }
         }
-        let accept = async {
-            match &listener {
-                Some(listener) => listener.accept().await,
-                None => std::future::pending().await,
+        if !room {
+            unaccepted.get_or_insert_with(Instant::now);
+        }
+        let accept = std::future::poll_fn(|cx| {
+            let Some(listener) = &listener else { return Poll::Pending };
+            let accepted = listener.poll_accept(cx);
+            if accepted.is_pending() {
+                unaccepted = None;
             }
-        };
+            accepted
+        });
         tokio::select! {
             accepted = accept, if room => match accepted {
                 Ok((stream, _)) => {
                     number += 1;
                     failing = None;
-                    open(driver, &clients, number, stream, None);
+                    let waited = unaccepted.map_or(Duration::ZERO, |since| since.elapsed());
+                    open(driver, &clients, number, stream, Before { waited, ..Before::default() });
                 }
                 // The connection was aborted, or the call interrupted: the next one may do.
                 Err(e) if !transient::is_want(&e) => tokio::task::yield_now().await,
@@ -398,22 +415,27 @@
 fn adopt(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, passed: Passed) {
     let Passed { stream, begun, read } = passed;
     let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else { return };
-    open(driver, clients, number, stream, Some((begun, read)));
+    let begun = begun.map(|waited| Instant::now().checked_sub(waited).unwrap_or_else(Instant::now));
+    open(driver, clients, number, stream, Before { passed: Some((begun, read)), ..Before::default() });
 }
 
-fn open(
-    driver: &Rc<Driver>,
-    clients: &Rc<Clients>,
-    number: u64,
-    stream: TcpStream,
-    before: Option<(Option<Duration>, Bytes)>,
-) {
+/// What of a connection lies before its opening here.
+#[derive(Default)]
+struct Before {
+    /// Another process had it: when the request began that has not come whole, and what was read.
+    passed: Option<(Option<Instant>, Bytes)>,
+    /// It may have waited so long in the queue.
+    waited: Duration,
+}
+
+fn open(driver: &Rc<Driver>, clients: &Rc<Clients>, number: u64, stream: TcpStream, before: Before) {
     let _ = stream.set_nodelay(true);
     let late = driver.life(Lifecycle::turns_away);
     let client = Rc::new(Client::new(clients.layout.clone(), clients.heir.clone(), late));
     let mut read = Bytes::new();
-    if let Some((begun, bytes)) = before {
-        client.begun.set(begun.map(|waited| Instant::now().checked_sub(waited).unwrap_or_else(Instant::now)));
+    client.waited.set(before.waited);
+    if let Some((begun, bytes)) = before.passed {
+        client.begun.set(begun);
         client.spoke.set(!bytes.is_empty());
         read = bytes;
     }
@@ -558,11 +580,11 @@
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         return answer;
     }
-    let mut rested_ms = 0.0;
+    let mut rested_ms = client.waited.take().as_secs_f64() * 1000.0;
     if let Some(until) = client.rest.take() {
         let came = Instant::now();
         tokio::time::sleep_until(until).await;
-        rested_ms = came.elapsed().as_secs_f64() * 1000.0;
+        rested_ms += came.elapsed().as_secs_f64() * 1000.0;
     }
     let mut read = match head::read(&driver.config, &client.layout, &head) {
         Ok(read) => read,
@@ -592,7 +614,7 @@
         Payload::Piped(pipe) => Some(pipe.clone()),
         Payload::Held { .. } => None,
     };
-    // The client's time has run while its connection rested.
+    // The client's time has run while its connection waited to be accepted, or rested.
     read.request.budget_ms = (read.request.budget_ms - rested_ms).max(0.0);
     let content = Content {
         method: head.method,
