Discovery that is slow or comes back is heard in time; a stop that lay unread leaves less time

Cause, by reading the terms against each path: an agent that took over 2 s to answer was never heard, since the oldest of eight calls made way (upstream/resumption.rs); a registry that comes back was asked after up to 6.5 s and more, by waits that doubled, where a change counts as told 6 s after it could be reached (upstream/asking.rs); SIGTERM that came while the process stood still counted from when it was read, so that answers could come after SIGKILL (crates/lifecycle). Change: the oldest call is kept for 5 s and the young ones rotate behind it; a tier that its registry can answer within 2 s waits no longer than that, and gives a call up after 3 s (4.5 s before); the time to SIGKILL counts from the pause.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -121,6 +121,8 @@
     times: Times,
     phase: Phase,
     since: Millis,
+    /// The word to end may have come then already, while the process stood still.
+    told: Millis,
     /// The standby that came before the end began then.
     away: Option<Millis>,
     able: bool,
@@ -129,7 +131,7 @@
 impl Lifecycle {
     /// A limiter that starts.
     pub fn new(times: Times) -> Lifecycle {
-        Lifecycle { times, phase: Phase::Starting, since: 0.0, away: None, able: false }
+        Lifecycle { times, phase: Phase::Starting, since: 0.0, told: 0.0, away: None, able: false }
     }
 
     /// A limiter that starts beside one that serves in the same place.
@@ -181,11 +183,16 @@
                 Phase::Warming => Some(f64::NEG_INFINITY),
                 _ => None,
             };
-            (self.phase, self.since) = (next, now);
+            (self.phase, self.since, self.told) = (next, now, now);
         }
         Ok(next)
     }
 
+    /// The command that began the present phase may have come so long before it was read: whoever sent it counts from then.
+    pub fn lay_unread(&mut self, waited_ms: Millis) {
+        self.told = self.since - waited_ms.max(0.0);
+    }
+
     /// Clients may come.
     pub fn ready(&self) -> bool {
         self.phase == Phase::Serving && self.able
@@ -212,7 +219,7 @@
     /// How long an answer may still take before the process may be ended from outside; infinite while it is not to end.
     pub fn left_ms(&self, now: Millis) -> Millis {
         match self.phase {
-            Phase::Stopping => (self.since + self.times.killed_ms - now).max(0.0),
+            Phase::Stopping => (self.told + self.times.killed_ms - now).max(0.0),
             _ => f64::INFINITY,
         }
     }
@@ -317,6 +324,17 @@
         assert_eq!((life.left_ms(100.0), life.left_ms(3400.0), life.left_ms(4000.0)), (3400.0, 100.0, 0.0));
     }
 
+    /// Guards against answers after SIGKILL where SIGTERM came while the process stood still.
+    #[test]
+    fn a_stop_that_lay_unread_leaves_less_time() {
+        let mut life = Lifecycle::new(Times { killed_ms: 3400.0, ..Times::default() });
+        life.able(0.0, true);
+        assert_eq!(life.handle(2000.0, Command::Stop), Ok(Phase::Stopping));
+        life.lay_unread(1500.0);
+        assert_eq!(life.left_ms(2000.0), 1900.0);
+        assert!(life.accepts(2599.0), "clients come as long as ever");
+    }
+
     #[test]
     fn one_that_hands_over_accepts_nothing_and_closes_with_each_answer() {
         let mut life = serving();
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -340,8 +340,11 @@
     pub fn command(&self, command: Command) -> Result<Phase, Ending> {
         self.able();
         let before = self.phase();
-        let said = self.life.borrow_mut().handle(self.now(), command);
+        let now = self.now();
+        let said = self.life.borrow_mut().handle(now, command);
         if self.phase() != before {
+            let waited_ms = self.pauses.borrow_mut().waited_ms(now);
+            self.life.borrow_mut().lay_unread(waited_ms);
             let phase = self.phase();
             info!(event = "phase", from = %before, to = %phase, "{before} until now, {phase} from now on");
             self.phase_changed.notify_waiters();
--- a/marldeal/src/upstream/asking.rs
+++ b/marldeal/src/upstream/asking.rs
@@ -10,7 +10,8 @@
 const DOUBLINGS: i32 = 2;
 /// Longest wait: a limiter that has not asked for longer counts as told what it has not heard.
 const MOST_MS: f64 = 20_000.0;
-/// Longest wait where something is missed that counts as told soon: after a watch has fallen silent, or at a new place.
+/// Longest wait where something is missed that counts as told soon: after a watch has fallen silent, or at a new place; and
+/// the longest usual one of a tier that the registry can answer within as much.
 const URGENT_MS: f64 = 2000.0;
 
 /// Waits before calls, with their jitter.
@@ -47,7 +48,8 @@
     pub fn again(&mut self, told: bool) -> Duration {
         self.failures = if told { 0 } else { self.failures + 1 };
         let doublings = (self.failures - 1).clamp(0, DOUBLINGS);
-        let usual = (self.spread_ms() * 2f64.powi(doublings)).min(MOST_MS / 1.5);
+        let most_ms = if self.spread_ms() <= URGENT_MS { URGENT_MS } else { MOST_MS / 1.5 };
+        let usual = (self.spread_ms() * 2f64.powi(doublings)).min(most_ms);
         wait(usual * (0.5 + self.rng.f64()))
     }
 }
--- a/marldeal/src/upstream/resumption.rs
+++ b/marldeal/src/upstream/resumption.rs
@@ -17,13 +17,16 @@
 /// Beats come every 2 s; a whole second behind its time, one has been missed. What a silent watch misses counts as told
 /// 6 s after it fell silent: as much again is left to open it anew.
 pub const SILENCE_MS: Millis = 3000.0;
-/// Calls that may wait for an agent at once: one that is slow to answer is still heard, the oldest makes way.
+/// Calls that may wait for an agent at once. The oldest is kept, so that one that is slow to answer is heard; those behind it
+/// make way, so that there is always a young one, which an agent that comes back has not swallowed.
 const MOST_CALLS: usize = 8;
 /// Share of the grace for drains after which an agent is called again, and the bounds of that time in milliseconds.
 const EVERY_PART: f64 = 0.25;
 const EVERY_MS: (Millis, Millis) = (25.0, 250.0);
-/// A registry that all share has so long to answer a call: another one would only lengthen its line.
-const PATIENCE_MS: Millis = 4500.0;
+/// So long an answer may take; a change counts as told 6 s after it could be reached. Another call to a registry that all
+/// share would only lengthen its line.
+const AGENT_PATIENCE_MS: Millis = 5000.0;
+const REGISTRY_PATIENCE_MS: Millis = 3000.0;
 
 /// Who is asked.
 #[derive(Debug)]
@@ -42,6 +45,14 @@
     pub fn agent(grace_ms: Millis) -> Whom {
         Whom::Agent { every_ms: (grace_ms * EVERY_PART).clamp(EVERY_MS.0, EVERY_MS.1) }
     }
+
+    /// How long the answer to a call is waited for.
+    fn patience_ms(&self) -> Millis {
+        match self {
+            Whom::Agent { .. } => AGENT_PATIENCE_MS,
+            Whom::Registry(_) => REGISTRY_PATIENCE_MS,
+        }
+    }
 }
 
 /// What is to be done now.
@@ -74,10 +85,7 @@
 
     /// When [`Resumption::step`] has something to do, if nothing else happens before.
     pub fn due(&self) -> Millis {
-        let patience = match self.whom {
-            Whom::Agent { .. } => None,
-            Whom::Registry(_) => self.calls.front().map(|(_, began)| began + PATIENCE_MS),
-        };
+        let patience = self.calls.front().map(|(_, began)| began + self.whom.patience_ms());
         let silent = self.watch.map(|(_, heard, _)| heard + SILENCE_MS);
         [self.next, patience, silent].into_iter().flatten().fold(f64::INFINITY, f64::min)
     }
@@ -89,15 +97,19 @@
             return Some(Step::Close(call, "silent"));
         }
         if let Some((call, began)) = self.calls.front().copied() {
-            let late = matches!(self.whom, Whom::Registry(_)) && now >= began + PATIENCE_MS;
-            if late || self.calls.len() > MOST_CALLS || self.watch.is_some() {
+            let late = now >= began + self.whom.patience_ms();
+            if late || self.watch.is_some() {
                 self.calls.pop_front();
-                if late && self.watch.is_none() {
+                if late && self.watch.is_none() && matches!(self.whom, Whom::Registry(_)) {
                     self.again(now, false, false);
                 }
                 return Some(Step::Close(call, "no answer"));
             }
         }
+        if self.calls.len() > MOST_CALLS {
+            let (call, _) = self.calls.remove(1)?;
+            return Some(Step::Close(call, "no answer"));
+        }
         self.next.filter(|at| now >= *at)?;
         self.number += 1;
         self.calls.push_back((self.number, now));
@@ -218,6 +230,21 @@
             let every_ms = grace_ms * EVERY_PART;
             let at = back_after(Whom::agent(grace_ms), (0.0, 0.0), every_ms * 7.5);
             assert!(at <= every_ms * 7.5, "{at}");
+            let at = back_after(Whom::agent(grace_ms), (0.0, 0.0), 4900.0);
+            assert!(at <= 4900.0, "an agent that takes 4.9 s to answer was heard after {at} ms");
+        }
+    }
+
+    /// Guards against a registry that is back and is asked only after a wait that grew with its failures: a change counts as
+    /// told 6 s after it could be reached.
+    #[test]
+    fn a_registry_that_returns_is_heard_within_6_s_by_a_small_tier() {
+        for seed in 0..40 {
+            for limiters in [1, 3, 12, 30] {
+                let back = 30_000.0 + 97.0 * seed as f64;
+                let at = back_after(Whom::Registry(Asking::new(limiters, seed)), (0.0, back), 200.0);
+                assert!(at - back <= 6000.0, "{limiters} limiters, seed {seed}: {} ms after", at - back);
+            }
         }
     }
 
