--- a/marldeal/src/driver/permission.rs
+++ b/marldeal/src/driver/permission.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fawnhill::planted::{self, Fault};
 use fawnhill::{Effect, Outcome, Request, RequestId};
 use marldeal_permit::violation::{Violations, Written};
 use marldeal_permit::{may_accept, may_send, Attempt, Check, Client, Denied, Start, Verdict};
@@ -48,6 +49,9 @@
 
     /// What a second execution of a request would do.
     pub fn effect(&self, request: &Request) -> marldeal_permit::Effect {
+        if planted::is(Fault::Effect) {
+            return marldeal_permit::Effect::Safe;
+        }
         let class = self.config.settings.classes.get(request.class);
         class.map_or(marldeal_permit::Effect::Unsafe, |c| effect_of(c.effect, c.window_ms))
     }
--- a/marldeal/tests/planted.rs
+++ b/marldeal/tests/planted.rs
@@ -6,6 +6,8 @@
 use marldeal_faults::processes::Program;
 use marldeal_faults::{ground, plans};
 use marldeal_rehearsal::scenario::{Repeats, Scenario};
+use marldeal_soak::command::{play_seed, Arguments};
+use marldeal_soak::judge::Rule;
 
 /// Seeds within which each fault has to be found.
 const SEEDS: u64 = 3;
@@ -109,3 +111,38 @@
 fn one_that_answers_words_of_a_partition_it_has_left() {
     is_found("echo");
 }
+
+/// The soak test's judge finds a broken rule within three seeds, by the rule that was broken.
+fn soak_finds(fault: &str, rule: Rule) {
+    let arguments = Arguments {
+        program: env!("CARGO_BIN_EXE_marldeal").into(),
+        seeds: String::new(),
+        limiters: 6,
+        servers: 5,
+        seconds: 14.0,
+        failing_calls: false,
+        keep: None,
+        variables: vec![("MARLDEAL_PLANTED".to_string(), fault.to_string())],
+    };
+    let found = (1..=3).any(|seed| {
+        let files = tempfile::TempDir::new().expect("a directory");
+        let (_, breaches) = play_seed(&arguments, seed, files.path()).unwrap_or_else(|why| panic!("{why}"));
+        breaches.iter().any(|b| b.rule == rule)
+    });
+    assert!(found, "{fault} was not found as {rule:?}");
+}
+
+#[test]
+fn one_that_drains_nothing_is_found_by_the_soak_test() {
+    soak_finds("drain", Rule::Drain);
+}
+
+#[test]
+fn one_that_repeats_what_may_have_run_is_found_by_the_soak_test() {
+    soak_finds("effect", Rule::Repeat);
+}
+
+#[test]
+fn one_that_sends_on_what_is_past_its_time_is_found_by_the_soak_test() {
+    soak_finds("thaw", Rule::Afterwards);
+}
