--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -198,6 +198,10 @@
     pub ejected: usize,
     /// Reloads.
     pub reloads: Reloads,
+    /// Attempts that were not sent, since something had changed after the decision.
+    pub denied: u64,
+    /// Rules that this process broke, as far as it can see.
+    pub violations: u64,
 }
 
 /// The engine with all that surrounds it; one thread, so that nothing is locked.
@@ -214,6 +218,7 @@
     /// All that discovery had told by then has been read, also what came while the process stood still.
     list_read: Cell<f64>,
     violations: Cell<Violations>,
+    denied: Cell<u64>,
     life: RefCell<Lifecycle>,
     /// Whether the process stood still of late.
     pauses: RefCell<Pauses>,
@@ -273,6 +278,7 @@
             watches: RefCell::default(),
             list_read: Cell::new(f64::NEG_INFINITY),
             violations: Cell::default(),
+            denied: Cell::new(0),
             life: RefCell::new(life),
             pauses: RefCell::default(),
             phase_changed: Notify::new(),
@@ -430,6 +436,8 @@
             discovered: state.addresses.len(),
             ejected: state.engine.avoided(self.now()),
             reloads: self.reloads.get(),
+            denied: self.denied.get(),
+            violations: self.violations().total(),
         }
     }
 
--- a/marldeal/src/driver/permission.rs
+++ b/marldeal/src/driver/permission.rs
@@ -68,6 +68,7 @@
                 Verdict::First(Check::Client) => self.look_at_client(job.id),
                 Verdict::First(Check::List) => self.read_list().await,
                 Verdict::Denied(why) => {
+                    self.denied.set(self.denied.get() + 1);
                     let (request, attempt, server) = (job.id, job.attempt, &job.server);
                     info!(event = "denied", request, attempt, %server, %why, "request {request}: attempt {attempt} is not sent: {why}");
                     return Err(why);
--- a/marldeal/src/management/line.rs
+++ b/marldeal/src/management/line.rs
@@ -74,6 +74,8 @@
         ("ejected", figures.ejected as u64),
         ("sighup_applied", figures.reloads.applied),
         ("sighup_rejected", figures.reloads.rejected),
+        ("denied", figures.denied),
+        ("violations", figures.violations),
     ];
     for (name, figure) in rest {
         let _ = writeln!(text, "{name}={figure}");
