--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -1,13 +1,14 @@
 //! The host of the engine: gives it the time and does what it asks. Owns neither clients' nor servers' sockets.
 
+mod clock;
 mod permission;
+mod proxied;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use fawnhill::{Condition, Effect, Outcome, Request, RequestId, ServerId};
@@ -15,7 +16,7 @@
 use marldeal_bodies::Budget;
 use marldeal_engine::ledger::Ledger;
 use marldeal_engine::{Engine, Input, Output};
-use marldeal_external::{self as external, Bounds, Counts, External, StreamId, Verdict};
+use marldeal_external as external;
 use marldeal_lifecycle::pauses::Pauses;
 use marldeal_lifecycle::{Command, Ending, Lifecycle, Phase};
 use marldeal_outcomes::{Found, Question, Record};
@@ -30,26 +31,9 @@
 use crate::settings::config::Config;
 use crate::settings::roster::{self, News, Sources, MOST_SERVERS};
 use crate::tapped::Shared;
-
-/// Time in milliseconds: Unix time at the start, then the steady clock. Discovery's start times need no
-/// conversion, and a limiter that starts again never sees a moment twice.
-struct Clock {
-    began: Instant,
-    unix_ms: f64,
-}
-
-impl Clock {
-    fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { began: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
-    }
-    fn now(&self) -> f64 {
-        self.unix_ms + self.began.elapsed().as_secs_f64() * 1000.0
-    }
-    fn instant(&self, at: f64) -> Instant {
-        self.began + Duration::from_secs_f64(((at - self.unix_ms) / 1000.0).clamp(0.0, 1e9))
-    }
-}
+use clock::Clock;
+use proxied::Proxied;
+pub use proxied::Word;
 
 /// The final answer to a client of the direct front.
 #[derive(Debug)]
@@ -137,23 +121,6 @@
     end: f64,
 }
 
-/// What a stream of a proxy is told.
-#[derive(Debug)]
-pub struct Word {
-    /// The verdict.
-    pub verdict: Verdict,
-    /// Where the granted attempt goes.
-    pub node: Option<SocketAddr>,
-    /// Milliseconds that it may take.
-    pub left_ms: f64,
-}
-
-/// Requests that proxies carry out.
-struct Proxied {
-    machine: External,
-    streams: HashMap<StreamId, mpsc::Sender<Word>>,
-}
-
 struct State {
     engine: Engine,
     proxied: Option<Proxied>,
@@ -669,61 +636,6 @@
         self.perform(&mut state, body);
     }
 
-    /// Proxies may ask from now on.
-    pub fn serve_proxies(&self, bounds: Bounds) {
-        let machine = External::new(bounds, &self.config.settings);
-        self.state.borrow_mut().proxied = Some(Proxied { machine, streams: HashMap::new() });
-    }
-
-    /// Something that a stream said. `words` is where a stream that presents a request hears its verdicts.
-    pub fn proxied(self: &Rc<Self>, input: external::Input, words: Option<mpsc::Sender<Word>>) {
-        let mut state = self.state.borrow_mut();
-        if let (external::Input::Presented { stream, .. }, Some(words), Some(proxied)) =
-            (&input, words, &mut state.proxied)
-        {
-            proxied.streams.insert(*stream, words);
-        }
-        let closed = match input {
-            external::Input::Closed { stream } => Some(stream),
-            _ => None,
-        };
-        self.give(&mut state, input);
-        if let (Some(stream), Some(proxied)) = (closed, &mut state.proxied) {
-            proxied.streams.remove(&stream);
-        }
-        self.perform(&mut state, None);
-    }
-
-    /// Requests of proxies that are open, and what has happened since the start.
-    pub fn proxied_counts(&self) -> (usize, Counts) {
-        let state = self.state.borrow();
-        state.proxied.as_ref().map_or((0, Counts::default()), |p| (p.machine.open(), p.machine.counts()))
-    }
-
-    fn give(&self, state: &mut State, input: external::Input) {
-        let State { engine, proxied: Some(proxied), addresses, outputs, .. } = state else { return };
-        let now = self.now();
-        let mut out = Vec::new();
-        proxied.machine.handle(now, input, engine, &mut out);
-        for item in out {
-            match item {
-                external::Out::Engine(output) => outputs.push_back(output),
-                external::Out::Reply { stream, verdict } => {
-                    let grant = match &verdict {
-                        Verdict::Go(grant) | Verdict::Retry(grant) => Some(grant),
-                        _ => None,
-                    };
-                    let node = grant.and_then(|g| addresses.get(&g.server)).copied();
-                    let left_ms = grant.map_or(0.0, |g| g.end - now);
-                    // A stream that is gone, or takes nothing in, has its end told by another way.
-                    if let Some(words) = proxied.streams.get(&stream) {
-                        let _ = words.try_send(Word { verdict, node, left_ms });
-                    }
-                }
-            }
-        }
-    }
-
     fn input(&self, state: &mut State, input: Input) -> Option<RequestId> {
         let id = state.engine.handle(self.now(), input, &mut state.spare);
         state.outputs.extend(state.spare.drain(..));
