--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,6 +9,7 @@
 
 use nix::sys::signal::Signal;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -72,14 +73,22 @@
     pub files: PathBuf,
 }
 
-/// Plays a plan and returns what was seen.
+/// Plays a plan and returns what was seen. Interrupted, it ends all that it has started.
 ///
 /// # Errors
 /// One plain line: what of the harness could not be done.
 pub fn play(plan: &Plan, subject: Subject) -> Result<History, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    LocalSet::new().block_on(&runtime, stage(plan, subject))
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+        tokio::select! {
+            seen = stage(plan, subject) => seen,
+            _ = tokio::signal::ctrl_c() => Err("interrupted".to_string()),
+            _ = term.recv() => Err("asked to end".to_string()),
+        }
+    })
 }
 
 async fn listen() -> Result<(TcpListener, SocketAddr), String> {
