The planted thaw is brought out by a plan of its own, not by three seeds

Change: all servers hang before all limiters stand still, so that each run holds requests past their time. As strict: the same fault, the same rule, one run in place of three.

--- a/marldeal/tests/planted.rs
+++ b/marldeal/tests/planted.rs
@@ -7,7 +7,9 @@
 use marldeal_faults::{ground, plans};
 use marldeal_rehearsal::scenario::{Repeats, Scenario};
 use marldeal_soak::command::{play_seed, Arguments};
-use marldeal_soak::judge::Rule;
+use marldeal_soak::judge::{judge, Rule};
+use marldeal_soak::plan::{Entry, Plan, Trouble};
+use marldeal_soak::run::{self, Subject};
 
 /// Seeds within which each fault has to be found.
 const SEEDS: u64 = 3;
@@ -142,7 +144,23 @@
     soak_finds("effect", Rule::Repeat);
 }
 
+/// All servers hang, and then all limiters stand still until the time of what they hold is over: which seed it is makes no
+/// difference, as it would where stops meet few requests.
 #[test]
 fn one_that_sends_on_what_is_past_its_time_is_found_by_the_soak_test() {
-    soak_finds("thaw", Rule::Afterwards);
+    let (limiters, servers) = (6, 5);
+    let hang = |server| Entry { at: 3000.0, trouble: Trouble::Hang(server, 3500.0) };
+    let stop = |limiter| Entry { at: 3700.0, trouble: Trouble::Stop(limiter, 2600.0) };
+    let entries = (0..servers).map(hang).chain((0..limiters).map(stop)).collect();
+    let plan = Plan { seed: 1, limiters, servers, length_ms: 9000.0, entries };
+    let files = tempfile::TempDir::new().expect("a directory");
+    let planted = vec![("MARLDEAL_PLANTED".to_string(), "thaw".to_string())];
+    let subject = Subject {
+        program: env!("CARGO_BIN_EXE_marldeal").into(),
+        variables: vec![planted; limiters],
+        files: files.path().to_path_buf(),
+    };
+    let history = run::play(&plan, subject).unwrap_or_else(|why| panic!("{why}"));
+    let late = judge(&history).iter().filter(|b| b.rule == Rule::Afterwards).count();
+    assert!(late > 0, "nothing was found that was sent on past its time");
 }
