Review cases end their processes when a script is ended from outside

Cause: a script that was ended early left its program running for up to 110 s. Change: the program ends with its script, and the limiters with the program.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -60,6 +60,8 @@
 /// Opens the record and starts the watchdog.
 pub fn begin() {
     now();
+    // Ends with the script, and the limiters with it.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
     let path = std::env::var("RECORD").expect("RECORD names the record");
     let _ = RECORD.set(Mutex::new(File::create(path).expect("the record is created")));
     std::panic::set_hook(Box::new(|why| {
--- a/review/standins/run_case.sh
+++ b/review/standins/run_case.sh
@@ -10,8 +10,12 @@
     fi
     FOLDER="$(mktemp -d)" || return 2
     export FOLDER
-    trap 'rm -rf "$FOLDER"' EXIT
-    "$ROOT/review/target/$program"
+    "$ROOT/review/target/$program" &
+    PROGRAM_PID=$!
+    # The limiters end with the program that started them.
+    trap 'kill -KILL "$PROGRAM_PID" 2>/dev/null; rm -rf "$FOLDER"' EXIT
+    trap 'exit 2' TERM INT HUP
+    wait "$PROGRAM_PID"
     local code=$?
     [ "$code" -le 2 ] || code=2
     return "$code"
