--- a/review/standins/case_ceiling.rs
+++ b/review/standins/case_ceiling.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex};
 
 /// Within the site's ranges: 22 units a second, 3 s worth at once, a ceiling of 1.8 times the quota, a slack of 10%.
-const PLAN: Fleet = Fleet { rate: 22.0, burst: 66.0, ceiling_rate: 39.6, ceiling_burst: 118.8, ceiling_slack: 11.88 };
+const PLAN: Fleet =
+    Fleet { rate: 22.0, burst: 66.0, ceiling_rate: 39.6, ceiling_burst: 118.8, ceiling_slack: 11.88 };
 /// On sockets the slack is wider by what the ceiling's rate gives in this time, in seconds.
 const WIDER_S: f64 = 0.15;
 const FIRM: u64 = 7;
@@ -104,7 +105,8 @@
 
     let mut times = std::mem::take(&mut tally.first_attempts.lock().unwrap().1);
     times.sort_by(f64::total_cmp);
-    let (mut level, mut at, mut lowest) = (PLAN.ceiling_burst, times.first().copied().unwrap_or(0.0), f64::INFINITY);
+    let (mut level, mut at, mut lowest) =
+        (PLAN.ceiling_burst, times.first().copied().unwrap_or(0.0), f64::INFINITY);
     for time in &times {
         level = (level + PLAN.ceiling_rate * (time - at)).min(PLAN.ceiling_burst) - 1.0;
         at = *time;
--- a/review/standins/case_upgrade_kill.rs
+++ b/review/standins/case_upgrade_kill.rs
@@ -35,7 +35,8 @@
             _ => std::thread::sleep(std::time::Duration::from_millis(1)),
         }
     }
-    let answer = read_answer(&stream, taken_at.unwrap_or_else(now) + TIME_LEFT_S + LATE_S).map(|a| a.status());
+    let answer =
+        read_answer(&stream, taken_at.unwrap_or_else(now) + TIME_LEFT_S + LATE_S).map(|a| a.status());
     record(&format!(
         "client: booking {} of customer {customer:016x}, whole at {}: {} at {:.3}",
         request.id,
@@ -100,7 +101,12 @@
     for (id, ..) in &lost {
         record(&format!("lost: {id} was taken and got no final answer"));
     }
-    record(&format!("{} bookings, {} taken whole, {} of these lost", outcomes.len(), taken.len(), lost.len()));
+    record(&format!(
+        "{} bookings, {} taken whole, {} of these lost",
+        outcomes.len(),
+        taken.len(),
+        lost.len()
+    ));
     if taken.len() < BOOKINGS as usize {
         record("could not run: not all bookings were written whole");
         end(2);
--- a/review/standins/case_upload.rs
+++ b/review/standins/case_upload.rs
@@ -6,8 +6,11 @@
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 
-/// Length of a body in bytes; the operators' pages allow 32 MB.
-const BODY: usize = 5_036_000;
+/// Memory limit of a limiter in MB. A body over an eighth of a fifth of it, 4,980,736 bytes, is piped.
+const MEMORY_MB: u32 = 190;
+/// Length of a body in bytes; the operators' pages allow 32 MB. What the limiter leaves in its socket is some kilobytes, which
+/// its machine surely takes.
+const BODY: usize = 4_988_000;
 const TIME_LEFT_S: f64 = 8.0;
 /// An answer half a second after its time only earns nothing; on sockets each limit is 50 ms longer.
 const LATE_S: f64 = 0.5 + 0.05;
@@ -64,7 +67,9 @@
         servers[SERVERS / 2] = hanging_server();
         record(&format!("server s-{:04x} hangs", SERVERS / 2));
     }
-    let platform = Arc::new(Platform::new(discovery(&servers), USUAL_FLEET, false));
+    let mut platform = Platform::new(discovery(&servers), USUAL_FLEET, false);
+    platform.memory_mb = MEMORY_MB;
+    let platform = Arc::new(platform);
     let _limiters: Vec<_> = (0..LIMITERS).map(|n| platform.start(n)).collect();
     (0..LIMITERS).for_each(|n| platform.wait_ready(n));
 
@@ -88,7 +93,12 @@
     for outcome in &lost {
         record(&format!("lost: {} was taken and got no final answer", outcome.id));
     }
-    record(&format!("{} bookings, {} taken whole, {} of these lost", outcomes.len(), taken.len(), lost.len()));
+    record(&format!(
+        "{} bookings, {} taken whole, {} of these lost",
+        outcomes.len(),
+        taken.len(),
+        lost.len()
+    ));
     if outcomes.len() < BOOKINGS as usize || taken.len() < BOOKINGS as usize / 2 {
         record("could not run: too few bookings were written whole");
         end(2);
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -156,7 +156,8 @@
                 let mut writer = stream;
                 while let Some(request) = read_message(&mut reader) {
                     let body = handle(&request);
-                    let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+                    let mut answer =
+                        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
                     answer.extend_from_slice(&body);
                     if writer.write_all(&answer).is_err() {
                         break;
@@ -268,6 +269,8 @@
     pub addrs: Vec<SocketAddr>,
     discovery: SocketAddr,
     fleet: Fleet,
+    /// Memory limit of a limiter in MB; 192 unless a case sets another.
+    pub memory_mb: u32,
     /// Own address of each limiter for messages, and the address under which `a` sees `b`.
     own: Vec<SocketAddr>,
     seen: BTreeMap<(usize, usize), SocketAddr>,
@@ -296,7 +299,8 @@
             .lines()
             .find_map(|l| l.strip_prefix("run = \"")?.split('"').next().map(str::to_string))
             .expect("the deploy file has a run line");
-        let mut listeners: Vec<_> = (0..LIMITERS).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let mut listeners: Vec<_> =
+            (0..LIMITERS).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
         let addrs = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
         if !inherited {
             listeners.clear();
@@ -328,7 +332,19 @@
                 }
             });
         }
-        Platform { listeners, addrs, discovery, fleet, own, seen, inherited, folder, root, run }
+        Platform {
+            listeners,
+            addrs,
+            discovery,
+            fleet,
+            memory_mb: 192,
+            own,
+            seen,
+            inherited,
+            folder,
+            root,
+            run,
+        }
     }
 
     /// Starts a process of a limiter by the deploy file's `run`. It inherits the clients' listening socket as
@@ -342,9 +358,10 @@
             .map(|a| format!("\"{a}\""))
             .collect();
         let (name, listen, discovery) = (format!("n{position}"), self.addrs[position], self.discovery);
+        let memory_mb = self.memory_mb;
         let (own, peers, settings) = (self.own[position], peers.join(","), settings(position, &self.fleet));
         let config = format!(
-            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"peer_listen":"{own}","peers":[{peers}],"mgmt":"{management}","settings":{settings}}}"#,
+            r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"peer_listen":"{own}","peers":[{peers}],"mgmt":"{management}","settings":{settings}}}"#,
             0x8c1f_30d2_7a5b_e964_u64.wrapping_mul(number + 1)
         );
         let path = self.folder.join(format!("config-{number}.json"));
@@ -357,7 +374,10 @@
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &self.run]).current_dir(&self.root).stdin(Stdio::null());
         command.stdout(log.try_clone().expect("clone")).stderr(log);
-        command.env("ROUTER_CONFIG", &path).env("ROUTER_MGMT", management.to_string()).env("TMPDIR", &temporary);
+        command
+            .env("ROUTER_CONFIG", &path)
+            .env("ROUTER_MGMT", management.to_string())
+            .env("TMPDIR", &temporary);
         command.env("ROUTER_NAME", &name).env("ROUTER_LISTEN", listen.to_string());
         command.env("ROUTER_DISCOVERY", discovery.to_string()).env_remove("ROUTER_ACCEPT_FD");
         if inherits {
@@ -400,9 +420,12 @@
 
     /// The log of a limiter's processes, for the record.
     pub fn record_logs(&self) {
-        let mut files: Vec<_> = std::fs::read_dir(&self.folder).expect("a folder").flatten().map(|e| e.path()).collect();
+        let mut files: Vec<_> =
+            std::fs::read_dir(&self.folder).expect("a folder").flatten().map(|e| e.path()).collect();
         files.sort();
-        for path in files.iter().filter(|p| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("log-"))) {
+        for path in
+            files.iter().filter(|p| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("log-")))
+        {
             record(&format!("{}:", path.file_name().unwrap().to_string_lossy()));
             for line in std::fs::read_to_string(path).unwrap_or_default().lines() {
                 record(&format!("    {line}"));
@@ -491,7 +514,9 @@
             Ok(0) => return Err(format!("the connection ended after {} bytes of an answer", all.len())),
             Ok(n) => all.extend_from_slice(&buffer[..n]),
             Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
-            Err(e) => return Err(format!("the connection broke after {} bytes of an answer: {e}", all.len())),
+            Err(e) => {
+                return Err(format!("the connection broke after {} bytes of an answer: {e}", all.len()))
+            }
         }
     }
 }
