A streamed body's time counts from its client's last byte, whatever the server takes

Cause: Input::Uploading set the deadlines of request and attempt to infinity until Input::Written, the last byte written to the server. The body is read only as the server takes it, so that a server that takes nothing stopped the only event that could start the time. Fix: a deadline is never infinite before an answer begins. While the client is known to be sending, the front renews it (Driver::body_arriving, each 50 ms): more was asked for and had not come, or what was received and lies unread is short of the declared length. So the time runs from the client's last byte at the latest, also if the check fails to be made. A request whose last byte was never written is refused, since no server can have begun it; otherwise it fails. Related paths: a client that such a server blocks within its body waited for ever (now 10 s without progress, then its time); bodies without a length; an answer that begins before the body was read was cut by the deadline of the written body; an upload longer than its time budget counted as a violation. StreamedBody has a file of its own.

The check deadline_of_an_upload_counts_from_its_last_byte is replaced: it asserted that an upload that is not written never ends, which was the fault. The new check holds the same bounds (no end before 2.9 s, an end by 3 s) from the client's last byte, written or not, 50 s after the request began.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -100,8 +100,9 @@
         /// The load report sent with the response.
         load: Load,
     },
-    /// The body of a request that was just received is still being uploaded and is streamed to a server. The request
-    /// gets a single attempt, and its time budget starts at [`Input::Written`].
+    /// The client of a request is still sending the body, which is streamed to a server. To be repeated for as long as
+    /// that is known: the request's time budget counts from the last of these inputs, whether or not a server takes the
+    /// body. The request gets a single attempt.
     Uploading {
         /// The request.
         id: RequestId,
@@ -158,6 +159,16 @@
     Failed,
 }
 
+impl std::fmt::Display for Answer {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Answer::Served => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        })
+    }
+}
+
 /// An action for the caller to perform.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
@@ -218,9 +229,9 @@
     correlation_id: CorrelationId,
     class: usize,
     deadline: Millis,
-    /// The whole time budget, which starts at the last byte if the body is still being uploaded.
+    /// The whole time budget, which counts from the client's last byte.
     budget_ms: Millis,
-    uploading: bool,
+    body: BodyProgress,
     /// The response is being streamed to the client.
     streaming: bool,
     attempt_count: u32,
@@ -228,6 +239,17 @@
     outstanding: bool,
 }
 
+/// How far the body of a request has been passed on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum BodyProgress {
+    /// It was received whole before the request was opened.
+    Buffered,
+    /// It is streamed, and its last byte has not been written to a server, which therefore cannot have begun.
+    Streaming,
+    /// It was streamed, and its last byte has been written to a server.
+    Streamed,
+}
+
 /// An outstanding attempt.
 struct Attempt {
     sent: Millis,
@@ -326,14 +348,7 @@
             Input::AttemptEnded { id, attempt, outcome, units, load } => {
                 self.attempt_ended(now, id, attempt, outcome, units, load, out);
             }
-            Input::Uploading { id } => {
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.uploading = true;
-                    if request.outstanding {
-                        self.suspend_deadline(id);
-                    }
-                }
-            }
+            Input::Uploading { id } => self.renew_upload(now, id),
             Input::Written { id, attempt } => self.attempt_written(now, id, attempt),
             Input::Streaming { id, attempt } => self.response_streaming(now, id, attempt),
             Input::ClientDisconnected { id } => {
@@ -483,7 +498,7 @@
                 class: request.class,
                 deadline,
                 budget_ms: request.budget_ms,
-                uploading: false,
+                body: BodyProgress::Buffered,
                 streaming: false,
                 attempt_count: 0,
                 outstanding: false,
@@ -496,22 +511,35 @@
         Some(id)
     }
 
-    /// Suspends the deadline of a request while its body is uploaded: the time budget starts at the last byte.
-    fn suspend_deadline(&mut self, id: RequestId) {
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.deadline = f64::INFINITY;
-            let attempt = request.attempt_count - 1;
-            self.attempts.entry((id, attempt)).and_modify(|a| a.deadline = f64::INFINITY);
-            self.events.push_back(Event::Streaming { id });
+    /// Restarts the time budget of a request whose client is still sending the body.
+    fn renew_upload(&mut self, now: Millis, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.streaming || request.body == BodyProgress::Streamed {
+            return;
         }
+        let begins = request.body == BodyProgress::Buffered;
+        request.body = BodyProgress::Streaming;
+        request.deadline = now + request.budget_ms;
+        if begins && request.outstanding {
+            self.exempt_upload(id);
+        }
+    }
+
+    /// Leaves the time of an upload to the deadline of its request: how long it takes depends on the client.
+    fn exempt_upload(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let attempt = request.attempt_count - 1;
+        self.attempts.entry((id, attempt)).and_modify(|a| a.deadline = f64::INFINITY);
+        self.events.push_back(Event::Streaming { id });
     }
 
     fn attempt_written(&mut self, now: Millis, id: RequestId, attempt: u32) {
         self.counters.record_forwarded();
-        let Some(open) = self.requests.get_mut(&id).filter(|r| r.uploading && r.outstanding) else { return };
-        open.uploading = false;
-        open.deadline = now + open.budget_ms;
-        self.timers.push(open.deadline, Timer::Deadline(id));
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if open.body != BodyProgress::Streaming || !open.outstanding {
+            return;
+        }
+        open.body = BodyProgress::Streamed;
         // The duration of the upload depends on the client and must not count as response time of the server.
         let deadline = open.deadline;
         self.attempts.entry((id, attempt)).and_modify(|a| (a.sent, a.deadline) = (now, deadline));
@@ -572,24 +600,37 @@
                     }
                 }
                 // Safeguard: the decision module normally ends its requests earlier. Nothing is sent after the deadline.
-                Timer::Deadline(id) => {
-                    if self.requests.get(&id).is_some_and(|r| r.deadline > now) {
-                        continue;
-                    }
-                    if let Some(request) = self.requests.get(&id).filter(|r| r.outstanding) {
-                        self.stop(id, request.attempt_count - 1, Outcome::TimedOut, out);
-                    }
-                    if self.finish(id, RequestOutcome::Aborted) {
-                        out.push(Output::Log(format!("request {id}: failed, its deadline has passed")));
-                        out.push(Output::Answer { id, answer: Answer::Failed });
-                        self.events.push_back(Event::ClientDisconnected { id });
-                    }
-                }
+                Timer::Deadline(id) => self.expire_request(now, id, out),
             }
             self.process_events(now, out);
         }
     }
 
+    /// Ends a request whose deadline has passed. It is refused if its body was not written whole, since no server can
+    /// have begun it, and fails otherwise.
+    fn expire_request(&mut self, now: Millis, id: RequestId, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (deadline, body) = (request.deadline, request.body);
+        if deadline > now {
+            if deadline.is_finite() {
+                self.timers.push(deadline, Timer::Deadline(id));
+            }
+            return;
+        }
+        if request.outstanding {
+            self.stop(id, request.attempt_count - 1, Outcome::TimedOut, out);
+        }
+        let (outcome, answer) = match body {
+            BodyProgress::Streaming => (RequestOutcome::Declined, Answer::Refused { retry_ms: 0.0 }),
+            BodyProgress::Buffered | BodyProgress::Streamed => (RequestOutcome::Aborted, Answer::Failed),
+        };
+        if self.finish(id, outcome) {
+            out.push(Output::Log(format!("request {id}: {answer}, its deadline has passed")));
+            out.push(Output::Answer { id, answer });
+            self.events.push_back(Event::ClientDisconnected { id });
+        }
+    }
+
     fn process_events(&mut self, now: Millis, out: &mut Vec<Output>) {
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
@@ -653,12 +694,12 @@
         }
         request.outstanding = true;
         let deadline = if cap_ms > 0.0 { request.deadline.min(now + cap_ms) } else { request.deadline };
-        let uploading = request.uploading;
+        let uploading = request.body == BodyProgress::Streaming;
         self.attempts.insert((id, attempt), Attempt { sent: now, streaming_since: None, deadline });
         self.timers.push(deadline, Timer::AttemptTimeout(id, attempt));
         out.push(Output::Send { id, attempt, server, deadline });
         if uploading {
-            self.suspend_deadline(id);
+            self.exempt_upload(id);
         }
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -313,28 +313,57 @@
     out.iter().filter_map(answer).collect()
 }
 
-/// The time budget of an upload starts at its last byte: the request does not expire while the body is uploaded, and
-/// expires on time afterwards.
+/// Starts an upload at 10 ms whose client is known to send until `last_byte`.
+fn upload(engine: &mut Engine, out: &mut Vec<Output>, last_byte: f64) -> RequestId {
+    let input = Input::Request { correlation_id: b"a".as_slice().into(), request: request(1, 1) };
+    let id = engine.handle(10.0, input, out).expect("the request is accepted");
+    let mut now = 10.0;
+    while now <= last_byte {
+        run_until(engine, now, out);
+        engine.handle(now, Input::Uploading { id }, out);
+        now += 50.0;
+    }
+    id
+}
+
+/// Guards against uploads that expire while the client sends, and against a request without an answer whose server takes
+/// nothing of the last bytes: the time budget of 3 s starts at the client's last byte, whenever it is passed on.
 #[test]
-fn deadline_of_an_upload_counts_from_its_last_byte() {
-    for written in [None, Some(50_000.0)] {
+fn deadline_of_an_upload_counts_from_the_last_byte_of_the_client() {
+    for written in [None, Some(50_010.0), Some(52_500.0)] {
         let (mut engine, mut out) = engine();
-        let input = Input::Request { correlation_id: b"a".as_slice().into(), request: request(1, 1) };
-        let id = engine.handle(10.0, input, &mut out).expect("the request is accepted");
-        engine.handle(10.0, Input::Uploading { id }, &mut out);
-        run_until(&mut engine, 60_000.0_f64.min(written.unwrap_or(60_000.0)), &mut out);
+        let id = upload(&mut engine, &mut out, 50_010.0);
         assert_eq!((answers(&out), engine.open_requests()), (vec![], 1));
-        let Some(at) = written else { continue };
-        engine.handle(at, Input::Written { id, attempt: 0 }, &mut out);
-        assert_eq!(engine.counters().forwarded(), 1);
-        run_until(&mut engine, at + 2900.0, &mut out);
+        if let Some(at) = written {
+            run_until(&mut engine, at, &mut out);
+            engine.handle(at, Input::Written { id, attempt: 0 }, &mut out);
+            assert_eq!(engine.counters().forwarded(), 1);
+        }
+        run_until(&mut engine, 52_910.0, &mut out);
         assert_eq!(answers(&out), []);
-        run_until(&mut engine, at + 3001.0, &mut out);
-        assert_eq!(answers(&out), [Answer::Failed]);
+        run_until(&mut engine, 53_011.0, &mut out);
+        // A server that has not received the whole body has not begun.
+        let expected = if written.is_some() { Answer::Failed } else { Answer::Refused { retry_ms: 0.0 } };
+        assert_eq!(answers(&out), [expected]);
         assert!(out.iter().any(|o| matches!(o, Output::Stop { outcome: Outcome::TimedOut, .. })));
+        assert_eq!(engine.open_requests(), 0);
     }
 }
 
+/// Guards against an answer that is cut off because its request's body was written, or more of it arrived, after the
+/// answer had begun.
+#[test]
+fn deadline_does_not_apply_to_an_answer_that_begins_during_the_upload() {
+    let (mut engine, mut out) = engine();
+    let id = upload(&mut engine, &mut out, 1010.0);
+    engine.handle(1020.0, Input::Streaming { id, attempt: 0 }, &mut out);
+    engine.handle(1060.0, Input::Uploading { id }, &mut out);
+    engine.handle(1100.0, Input::Written { id, attempt: 0 }, &mut out);
+    run_until(&mut engine, 30_000.0, &mut out);
+    assert!(!out.iter().any(|o| matches!(o, Output::Stop { .. } | Output::Answer { .. })), "{out:?}");
+    assert_eq!(engine.open_requests(), 1);
+}
+
 /// A response that is streamed to the client outlives the deadline. If it breaks off, the request counts as aborted and
 /// is not sent again.
 #[test]
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -569,6 +569,13 @@
         Some((id, answered))
     }
 
+    /// Handles that the client of a request is still sending the body: the time budget has not begun.
+    pub fn body_arriving(self: &Rc<Self>, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        self.handle_input(&mut state, Input::Uploading { id });
+        self.execute_outputs(&mut state, None);
+    }
+
     /// Caches final answers to requests with an idempotency key from now on.
     pub fn enable_answer_cache(&self, limits: marldeal_outcomes::Limits) {
         *self.answer_cache.borrow_mut() = Some(AnswerCache::new(limits));
@@ -695,6 +702,11 @@
                     let Some(direct) = state.direct_requests.get(&id) else { continue };
                     let job = AttemptJob { id, attempt, server, content: direct.content.clone(), deadline };
                     let (cancel, cancelled) = oneshot::channel();
+                    // The deadline of an upload moves on for as long as the client sends.
+                    let deadline = match job.content.body {
+                        Payload::Buffered { .. } => deadline,
+                        Payload::Streamed(_) => f64::INFINITY,
+                    };
                     state.outstanding.insert((id, attempt), OutstandingAttempt { cancel, deadline });
                     self.upstream.start(self.clone(), job, cancelled);
                 }
--- a/marldeal/src/front/answer.rs
+++ b/marldeal/src/front/answer.rs
@@ -2,6 +2,7 @@
 //! answer.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use crate::driver::{Answer, Driver, RequestContent};
 use crate::front::connection::Client;
 use crate::front::head;
-use crate::payload::{self, Payload, ReceiveError, ResponseBody};
+use crate::payload::{self, Payload, ReceiveError, ResponseBody, StreamedBody};
 use crate::socket::{SharedSocket, Unread};
 
 /// How long a request that arrives while this process stops may take to be read before it is refused.
@@ -33,6 +34,9 @@
 const CLOSE_ARRIVAL_TIMEOUT: Duration = Duration::from_millis(50);
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
+/// How often to check whether a client is still sending the body that is passed on.
+const BODY_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Notifies the driver of a disconnect when the client's connection ends before the answer.
 struct DisconnectGuard<'a> {
     driver: &'a Rc<Driver>,
@@ -163,7 +167,14 @@
     };
     debug!(event = "taken", request = id, ?correlation, class, "request {id} was accepted");
     let guard = DisconnectGuard { driver, id };
-    let answer = receiver.await;
+    let answer = match &pipe {
+        Some(pipe) => tokio::select! {
+            biased;
+            answer = receiver => answer,
+            never = report_arriving_body(driver, id, pipe, socket) => match never {},
+        },
+        None => receiver.await,
+    };
     drop(guard);
     // A client reads its answer only after it has sent the whole body. If the answer is streamed, the server still
     // takes the rest of the body.
@@ -185,6 +196,22 @@
     answer
 }
 
+/// Notifies the driver for as long as the client is known to be sending the body. Nothing else shows the client's last
+/// byte while a server takes no bytes, since the body is read only as the server takes it. Never returns.
+async fn report_arriving_body(
+    driver: &Rc<Driver>,
+    id: RequestId,
+    body: &StreamedBody,
+    socket: &SharedSocket,
+) -> Infallible {
+    loop {
+        if body.is_arriving(socket.unread_bytes()) {
+            driver.body_arriving(id);
+        }
+        tokio::time::sleep(BODY_POLL_INTERVAL).await;
+    }
+}
+
 /// What is known of the client whose body is still arriving.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Presence {
--- a/marldeal/src/front/connection.rs
+++ b/marldeal/src/front/connection.rs
@@ -24,12 +24,11 @@
 use crate::front::answer::respond;
 use crate::front::clients::Clients;
 use crate::front::head::HeaderLayout;
+use crate::front::MAX_HEAD_BYTES;
 use crate::payload::{Progress, TrackedBody};
 use crate::socket::{IoObserver, ObservedStream, SharedSocket, Unread};
 use crate::upgrade::{SuccessorHandle, TransferredConnection};
 
-/// Longest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 16 << 10;
 /// While new customers flood in, a connection that was refused is delayed by this time multiplied by the number of
 /// open connections, before its next request is handled. Answering the flood then takes about a fifth of a core,
 /// and requests of known customers do not wait behind all of the flood in each turn of the event loop.
--- a/marldeal/src/front/mod.rs
+++ b/marldeal/src/front/mod.rs
@@ -7,3 +7,6 @@
 pub mod external;
 pub mod head;
 pub mod proxy_messages;
+
+/// Longest head of a request, and with it the size of a client connection's read buffer, in bytes.
+pub const MAX_HEAD_BYTES: usize = 16 << 10;
--- a/marldeal/src/payload.rs
+++ b/marldeal/src/payload/mod.rs
@@ -1,8 +1,8 @@
 //! Request and response bodies in transit: a request's body to a server, buffered or streamed, and a response's
 //! body to a client, buffered or in chunks.
 
-use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+mod streamed_body;
+
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -17,6 +17,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, Sleep};
 
+pub use streamed_body::StreamedBody;
+
 /// Largest response that is read in full before it is passed on, and largest body that is buffered in one
 /// block.
 pub const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 << 10;
@@ -63,92 +65,6 @@
     }
 }
 
-/// A request body that is passed on while it is received.
-#[derive(Debug)]
-pub struct StreamedBody {
-    /// The chunks read before streaming began, and their share of the memory budget.
-    prefix: RefCell<(VecDeque<Bytes>, Option<BufferedBody>)>,
-    rest: RefCell<Incoming>,
-    declared_length: Option<u64>,
-    started: Instant,
-    received: Cell<u64>,
-    /// The body has been received in full.
-    ended: Cell<bool>,
-}
-
-impl StreamedBody {
-    /// Continues a body of which `buffered` has been read, and `chunk` did not fit into the memory budget.
-    pub fn new(
-        mut buffered: BufferedBody,
-        chunk: Bytes,
-        rest: Incoming,
-        declared_length: Option<u64>,
-        started: Instant,
-    ) -> StreamedBody {
-        let mut prefix: VecDeque<Bytes> = buffered.blocks().iter().cloned().collect();
-        prefix.extend((!chunk.is_empty()).then_some(chunk));
-        let received = prefix.iter().map(|b| b.len() as u64).sum();
-        let ended = Cell::new(declared_length == Some(received));
-        StreamedBody {
-            prefix: RefCell::new((prefix, Some(buffered))),
-            rest: RefCell::new(rest),
-            declared_length,
-            started,
-            received: Cell::new(received),
-            ended,
-        }
-    }
-
-    /// When the client has to have sent more of the body.
-    fn receive_deadline(&self) -> Instant {
-        self.started + Duration::from_secs_f64(MIN_UPLOAD_RATE.deadline_ms(self.received.get()) / 1000.0)
-    }
-
-    fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        let mut prefix = self.prefix.borrow_mut();
-        if let Some(chunk) = prefix.0.pop_front() {
-            return Poll::Ready(Some(Ok(chunk)));
-        }
-        prefix.1 = None;
-        loop {
-            let frame = std::task::ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
-            let chunk = match frame {
-                None => {
-                    self.ended.set(true);
-                    return Poll::Ready(None);
-                }
-                Some(Err(e)) => return Poll::Ready(Some(Err(io::Error::other(e)))),
-                // Trailers are not passed on.
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-            if !chunk.is_empty() {
-                self.received.set(self.received.get() + chunk.len() as u64);
-                // Reached only if no length was declared. What has been sent cannot be recalled, but the rest
-                // is not sent.
-                if self.received.get() > MAX_REQUEST_BODY_BYTES {
-                    return Poll::Ready(Some(Err(io::Error::other("the request body is too large"))));
-                }
-                self.ended.set(self.declared_length == Some(self.received.get()));
-                return Poll::Ready(Some(Ok(chunk)));
-            }
-        }
-    }
-
-    /// Reads and discards the rest of the body at the client's rate, so that the client reads its answer.
-    /// Returns false if the rest is not received in time.
-    pub async fn discard_rest(&self) -> bool {
-        while !self.ended.get() {
-            let chunk = std::future::poll_fn(|cx| self.poll_chunk(cx));
-            match tokio::time::timeout_at(self.receive_deadline(), chunk).await {
-                Ok(Some(Ok(_))) => {}
-                Ok(None) => return true,
-                Ok(Some(Err(_))) | Err(_) => return false,
-            }
-        }
-        true
-    }
-}
-
 /// Tracks how far a message has been written to a connection.
 pub trait Progress {
     /// The connection has taken the last byte of the body.
@@ -242,7 +158,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             OutgoingBody::Buffered(_, remaining) => *remaining == 0,
-            OutgoingBody::Streamed(body, _) => body.ended.get() && body.prefix.borrow().0.is_empty(),
+            OutgoingBody::Streamed(body, _) => body.is_exhausted(),
         }
     }
 
@@ -250,7 +166,7 @@
         let remaining = match self {
             OutgoingBody::Buffered(_, remaining) => Some(*remaining),
             // The connection asks before it has taken any of the body.
-            OutgoingBody::Streamed(body, _) => body.declared_length,
+            OutgoingBody::Streamed(body, _) => body.declared_length(),
         };
         remaining.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
--- /dev/null
+++ b/marldeal/src/payload/streamed_body.rs
@@ -0,0 +1,149 @@
+//! A request's body that is passed on to a server while its client sends it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use marldeal_bodies::BufferedBody;
+use tokio::time::Instant;
+
+use super::{MAX_REQUEST_BODY_BYTES, MIN_UPLOAD_RATE, TRANSFER_IDLE_TIMEOUT};
+use crate::front::MAX_HEAD_BYTES;
+
+/// Most bytes of a body that the HTTP server may hold between the socket and this body: a full read buffer, and a
+/// chunk that has not been fetched.
+const MAX_BYTES_IN_TRANSIT: u64 = 2 * MAX_HEAD_BYTES as u64;
+
+/// A request body that is passed on while it is received.
+#[derive(Debug)]
+pub struct StreamedBody {
+    /// The chunks read before streaming began, and their share of the memory budget.
+    prefix: RefCell<(VecDeque<Bytes>, Option<BufferedBody>)>,
+    rest: RefCell<Incoming>,
+    declared_length: Option<u64>,
+    started: Instant,
+    received: Cell<u64>,
+    /// The body has been received in full.
+    ended: Cell<bool>,
+    /// More of the body was asked for, and the client had not sent it.
+    awaits_client: Cell<bool>,
+    /// When a chunk was last passed on.
+    passed_on_at: Cell<Instant>,
+}
+
+impl StreamedBody {
+    /// Continues a body of which `buffered` has been read, and `chunk` did not fit into the memory budget.
+    pub fn new(
+        mut buffered: BufferedBody,
+        chunk: Bytes,
+        rest: Incoming,
+        declared_length: Option<u64>,
+        started: Instant,
+    ) -> StreamedBody {
+        let mut prefix: VecDeque<Bytes> = buffered.blocks().iter().cloned().collect();
+        prefix.extend((!chunk.is_empty()).then_some(chunk));
+        let received = prefix.iter().map(|b| b.len() as u64).sum();
+        let ended = Cell::new(declared_length == Some(received));
+        StreamedBody {
+            prefix: RefCell::new((prefix, Some(buffered))),
+            rest: RefCell::new(rest),
+            declared_length,
+            started,
+            received: Cell::new(received),
+            ended,
+            awaits_client: Cell::new(false),
+            passed_on_at: Cell::new(Instant::now()),
+        }
+    }
+
+    /// The length that the client has declared, in bytes.
+    pub fn declared_length(&self) -> Option<u64> {
+        self.declared_length
+    }
+
+    /// Whether all of the body has been received and passed on.
+    pub fn is_exhausted(&self) -> bool {
+        self.ended.get() && self.prefix.borrow().0.is_empty()
+    }
+
+    /// Whether the client is known to have more of the body to send, while the server takes what arrives. `unread` is
+    /// the number of bytes that the client's socket holds.
+    ///
+    /// A server that takes nothing leaves the client's last bytes unread, so that their arrival cannot be told from
+    /// what was received. Then only a declared length shows that more is to come.
+    pub fn is_arriving(&self, unread: u64) -> bool {
+        if self.ended.get() {
+            return false;
+        }
+        if self.awaits_client.get() {
+            return true;
+        }
+        let arrived_at_most = self.received.get() + MAX_BYTES_IN_TRANSIT + unread;
+        let more_to_come = self.declared_length.is_some_and(|length| arrived_at_most < length);
+        more_to_come && self.passed_on_at.get().elapsed() < TRANSFER_IDLE_TIMEOUT
+    }
+
+    /// When the client has to have sent more of the body.
+    pub(super) fn receive_deadline(&self) -> Instant {
+        self.started + Duration::from_secs_f64(MIN_UPLOAD_RATE.deadline_ms(self.received.get()) / 1000.0)
+    }
+
+    /// Returns the next chunk, or nothing at the end of the body.
+    pub(super) fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let chunk = self.poll_next(cx);
+        self.awaits_client.set(chunk.is_pending());
+        if chunk.is_ready() {
+            self.passed_on_at.set(Instant::now());
+        }
+        chunk
+    }
+
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let mut prefix = self.prefix.borrow_mut();
+        if let Some(chunk) = prefix.0.pop_front() {
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        prefix.1 = None;
+        loop {
+            let frame = std::task::ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
+            let chunk = match frame {
+                None => {
+                    self.ended.set(true);
+                    return Poll::Ready(None);
+                }
+                Some(Err(e)) => return Poll::Ready(Some(Err(io::Error::other(e)))),
+                // Trailers are not passed on.
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            if !chunk.is_empty() {
+                self.received.set(self.received.get() + chunk.len() as u64);
+                // Reached only if no length was declared. What has been sent cannot be recalled, but the rest
+                // is not sent.
+                if self.received.get() > MAX_REQUEST_BODY_BYTES {
+                    return Poll::Ready(Some(Err(io::Error::other("the request body is too large"))));
+                }
+                self.ended.set(self.declared_length == Some(self.received.get()));
+                return Poll::Ready(Some(Ok(chunk)));
+            }
+        }
+    }
+
+    /// Reads and discards the rest of the body at the client's rate, so that the client reads its answer.
+    /// Returns false if the rest is not received in time.
+    pub async fn discard_rest(&self) -> bool {
+        while !self.ended.get() {
+            let chunk = std::future::poll_fn(|cx| self.poll_chunk(cx));
+            match tokio::time::timeout_at(self.receive_deadline(), chunk).await {
+                Ok(Some(Ok(_))) => {}
+                Ok(None) => return true,
+                Ok(Some(Err(_))) | Err(_) => return false,
+            }
+        }
+        true
+    }
+}
--- a/marldeal/src/socket.rs
+++ b/marldeal/src/socket.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Asks the kernel how many bytes are unread at this moment; 0 if the connection has ended. Costs one system call.
+    pub fn unread_bytes(&self) -> u64 {
+        let stream = self.0.borrow();
+        stream.as_ref().and_then(|s| rustix::io::ioctl_fionread(&s.stream).ok()).unwrap_or(0)
+    }
+
     /// Asks the kernel whether the remote side has closed or reset the connection, or has stopped sending, even if
     /// bytes that it sent before are still unread, and whether or not the event loop has been notified. Costs one
     /// system call.
--- a/marldeal/tests/bodies.rs
+++ b/marldeal/tests/bodies.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use marldeal_standin::message::read;
 use marldeal_standin::TIMEOUT;
@@ -314,6 +314,88 @@
     assert_eq!(send_request(&limiter, &request("c")).status, 429);
 }
 
+/// A server whose system accepts connections and bytes, while its process reads nothing. Returns the listener that keeps
+/// the address.
+fn hanging_server() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// Starts a limiter with the default memory, under which bodies over 5,033,164 bytes are streamed, and a server that
+/// hangs.
+fn start_before_hanging_server() -> (Limiter, TcpListener) {
+    let (listed_first, hanging) = (Stub::new(|_, _| false), hanging_server());
+    let limiter = Limiter::with_management(&[("s-0", &listed_first, "active")], |c| c);
+    let addr = hanging.local_addr().expect("an address");
+    limiter.discovery.push(&stubs::update_line(2, true, &[("s-1", addr, "active")]));
+    limiter.wait_log("server s-1");
+    (limiter, hanging)
+}
+
+/// A chunked body of `length` bytes in chunks of 10,000 bytes.
+fn chunked(length: usize) -> String {
+    let chunk = format!("{:x}\r\n{}\r\n", 10_000, text(10_000));
+    chunk.repeat(length / 10_000) + "0\r\n\r\n"
+}
+
+/// Guards against a booking without an answer: all of its body has arrived, and its server takes nothing of the last
+/// bytes. The client's time runs from its last byte. An answer half a second after it is late, a later one is lost; on
+/// sockets each limit is 50 ms longer.
+#[test]
+fn streamed_body_at_a_server_that_reads_nothing_is_answered_in_time() {
+    let length = 5_040_000;
+    let declared = format!("Content-Length: {length}\r\n");
+    for (framing, body) in
+        [(declared.as_str(), text(length)), ("Transfer-Encoding: chunked\r\n", chunked(length))]
+    {
+        let (limiter, _hanging) = start_before_hanging_server();
+        let head = head_with_framing("k", framing).replace("X-Time-Left: 3.0", "X-Time-Left: 1.0");
+        let mut stream = connect(&limiter);
+        stream.write_all((head + &body).as_bytes()).expect("write");
+        let sent = Instant::now();
+        let answer = read_answer(&mut stream);
+        let took = sent.elapsed();
+        assert!(took < Duration::from_millis(1000 + 500 + 50), "{framing} answered after {took:?}");
+        assert_eq!((answer.status, limiter.stat("forwards")), (429, 0), "no server can have begun it");
+        assert_eq!(limiter.stat("outstanding"), 0);
+    }
+}
+
+/// Guards against a client that waits for ever to send the rest of its body, since its server has stopped reading. The
+/// transfer ends after 10 s without progress and the client's time; then the client sends the rest and reads its answer.
+#[test]
+fn client_that_a_hanging_server_blocks_is_refused() {
+    let (limiter, _hanging) = start_before_hanging_server();
+    let request = post("book", "k", "", &text(30_000_000)).replace("X-Time-Left: 3.0", "X-Time-Left: 1.0");
+    let mut stream = connect(&limiter);
+    stream.set_write_timeout(Some(Duration::from_secs(14))).expect("time-out");
+    let began = Instant::now();
+    stream.write_all(request.as_bytes()).expect("the limiter reads the rest");
+    assert_eq!(read_answer(&mut stream).status, 429);
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(10_000 + 1000 + 1000), "answered after {took:?}");
+}
+
+/// Guards against an upload that is cut off, or counted as sent too late, because it takes longer than the client waits
+/// for the answer.
+#[test]
+fn upload_may_take_longer_than_the_client_waits_for_the_answer() {
+    let addr = scripted_server(|mut stream| {
+        let received = read(&mut stream).expect("the whole request");
+        write_ok(&mut stream, &received.body.len().to_string());
+        let _ = stream.read(&mut [0; 16]);
+    });
+    let limiter = start_with_little_memory(addr);
+    let request = post("book", "k", "", &text(900_000)).replace("X-Time-Left: 3.0", "X-Time-Left: 0.5");
+    let (first, rest) = request.split_at(700_000);
+    let mut stream = connect(&limiter);
+    stream.write_all(first.as_bytes()).expect("write");
+    std::thread::sleep(Duration::from_millis(1500));
+    stream.write_all(rest.as_bytes()).expect("write");
+    let answer = read_answer(&mut stream);
+    assert_eq!((answer.status, answer.body.as_str()), (200, "900000"));
+    assert_eq!((limiter.stat("forwards"), limiter.stat("violations")), (1, 0));
+}
+
 /// A client that disconnects in the middle of a streamed body leaves nothing open.
 #[test]
 fn client_disconnect_ends_a_streamed_body() {
