A process that has handed over answers late bookings before SIGKILL

Cause: Lifecycle::remaining_ms was finite in the phase stopping only. With a successor the phase is handing over within a millisecond of SIGTERM, so that Driver::submit gave each booking its whole 8 s. The time of the kill was derived from the phase, which changes while the kill does not. Fix: the lifecycle keeps the time of the first stop (last_answer_at), whatever phases follow. The engine is notified once (Input::KillExpected) and shortens the time of every request whose last byte is received from then on, for all fronts; the rule in Driver::submit goes. A repeated SIGTERM and a hand-over after a stop that was read late no longer move the kill. Requests received before SIGTERM keep their time: the module ends them at their target latency.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -134,6 +134,12 @@
         /// The message.
         body: Vec<u8>,
     },
+    /// The process may be killed at this time. A request whose last byte is received from now on is answered before it,
+    /// however much of its time budget is left then.
+    KillExpected {
+        /// The last time at which an answer can be given.
+        at: Millis,
+    },
     /// The time returned by [`Engine::next_due`] has come.
     TimerExpired,
 }
@@ -284,6 +290,8 @@
     /// Number of servers that accept new requests.
     accepting: usize,
     next_id: RequestId,
+    /// The last time at which an answer can be given; infinite unless the process is about to end.
+    last_answer_at: Millis,
     counters: RequestCounters,
     peer_history: fault_injection::PeerHistory,
 }
@@ -307,6 +315,7 @@
             servers: HashMap::new(),
             accepting: 0,
             next_id: 0,
+            last_answer_at: f64::INFINITY,
             peer_history: fault_injection::PeerHistory::default(),
         })
     }
@@ -337,7 +346,8 @@
                 }
             }
             Input::ServerListFailed => self.events.push_back(Event::ListFailed),
-            Input::Request { correlation_id, request } => {
+            Input::Request { correlation_id, mut request } => {
+                request.budget_ms = request.budget_ms.min(self.last_answer_at - now);
                 let expired = request.budget_ms <= 0.0;
                 opened = self.open_request(now, correlation_id, request);
                 // The client's time is over and no attempt was made: repeating the request is harmless.
@@ -362,6 +372,7 @@
                 }
                 self.events.push_back(Event::MessageReceived { from, body });
             }
+            Input::KillExpected { at } => self.last_answer_at = at,
             Input::TimerExpired => self.expire_timers(now, out),
         }
         self.process_events(now, out);
@@ -519,7 +530,12 @@
         }
         let begins = request.body == BodyProgress::Buffered;
         request.body = BodyProgress::Streaming;
-        request.deadline = now + request.budget_ms;
+        let deadline = (now + request.budget_ms).min(self.last_answer_at.max(now));
+        // A timer that expires too early is set again; one for an earlier deadline has to be added.
+        if deadline < request.deadline {
+            self.timers.push(deadline, Timer::Deadline(id));
+        }
+        request.deadline = deadline;
         if begins && request.outstanding {
             self.exempt_upload(id);
         }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -313,11 +313,12 @@
     out.iter().filter_map(answer).collect()
 }
 
-/// Starts an upload at 10 ms whose client is known to send until `last_byte`.
-fn upload(engine: &mut Engine, out: &mut Vec<Output>, last_byte: f64) -> RequestId {
-    let input = Input::Request { correlation_id: b"a".as_slice().into(), request: request(1, 1) };
-    let id = engine.handle(10.0, input, out).expect("the request is accepted");
-    let mut now = 10.0;
+/// Starts an upload at `began` whose client is known to send until `last_byte`.
+fn upload(engine: &mut Engine, out: &mut Vec<Output>, began: f64, last_byte: f64) -> RequestId {
+    let correlation_id = began.to_string().as_bytes().into();
+    let input = Input::Request { correlation_id, request: request(1, 1) };
+    let id = engine.handle(began, input, out).expect("the request is accepted");
+    let mut now = began;
     while now <= last_byte {
         run_until(engine, now, out);
         engine.handle(now, Input::Uploading { id }, out);
@@ -332,7 +333,7 @@
 fn deadline_of_an_upload_counts_from_the_last_byte_of_the_client() {
     for written in [None, Some(50_010.0), Some(52_500.0)] {
         let (mut engine, mut out) = engine();
-        let id = upload(&mut engine, &mut out, 50_010.0);
+        let id = upload(&mut engine, &mut out, 10.0, 50_010.0);
         assert_eq!((answers(&out), engine.open_requests()), (vec![], 1));
         if let Some(at) = written {
             run_until(&mut engine, at, &mut out);
@@ -350,12 +351,38 @@
     }
 }
 
+/// Guards against requests that are open when the process is killed: from the notice on, a request has until then at
+/// most, whether it was received whole or its body still arrives. Earlier requests keep their time.
+#[test]
+fn requests_received_before_a_kill_are_answered_before_it() {
+    let (mut engine, mut out) = engine();
+    let early = upload(&mut engine, &mut out, 10.0, 410.0);
+    let uploaded = upload(&mut engine, &mut out, 420.0, 920.0);
+    engine.handle(920.0, Input::KillExpected { at: 1700.0 }, &mut out);
+    let whole = Input::Request { correlation_id: b"whole".as_slice().into(), request: request(1, 1) };
+    let whole = engine.handle(1000.0, whole, &mut out).expect("the request is accepted");
+    engine.handle(1500.0, Input::Uploading { id: uploaded }, &mut out);
+    out.clear();
+    run_until(&mut engine, 1700.0, &mut out);
+    let answered: BTreeSet<RequestId> =
+        out.iter().filter_map(|o| if let Output::Answer { id, .. } = o { Some(*id) } else { None }).collect();
+    assert_eq!(answered, BTreeSet::from([whole, uploaded]));
+    out.clear();
+    let late = Input::Request { correlation_id: b"late".as_slice().into(), request: request(1, 1) };
+    engine.handle(1710.0, late, &mut out);
+    assert_eq!(answers(&out), [Answer::Refused { retry_ms: 0.0 }], "there is no time left");
+    run_until(&mut engine, 3400.0, &mut out);
+    assert_eq!(engine.open_requests(), 1);
+    run_until(&mut engine, 3411.0, &mut out);
+    assert_eq!(engine.open_requests(), 0, "request {early} has its whole time budget");
+}
+
 /// Guards against an answer that is cut off because its request's body was written, or more of it arrived, after the
 /// answer had begun.
 #[test]
 fn deadline_does_not_apply_to_an_answer_that_begins_during_the_upload() {
     let (mut engine, mut out) = engine();
-    let id = upload(&mut engine, &mut out, 1010.0);
+    let id = upload(&mut engine, &mut out, 10.0, 1010.0);
     engine.handle(1020.0, Input::Streaming { id, attempt: 0 }, &mut out);
     engine.handle(1060.0, Input::Uploading { id }, &mut out);
     engine.handle(1100.0, Input::Written { id, attempt: 0 }, &mut out);
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -123,9 +123,9 @@
     timings: Timings,
     phase: Phase,
     phase_since: Millis,
-    /// Earliest time at which the command that began the present phase may have arrived. It is before `phase_since` if
-    /// the process was stalled.
-    commanded_at: Millis,
+    /// Earliest time at which the first stop may have been commanded, from which the platform counts the time to the
+    /// kill, whatever phases follow.
+    stopped_at: Option<Millis>,
     /// When the standby that preceded the present phase began; minus infinity if the process was only warming up.
     standby_since: Option<Millis>,
     can_serve: bool,
@@ -138,7 +138,7 @@
             timings,
             phase: Phase::Starting,
             phase_since: 0.0,
-            commanded_at: 0.0,
+            stopped_at: None,
             standby_since: None,
             can_serve: false,
         }
@@ -187,6 +187,9 @@
             (_, Command::HandOver) => Phase::HandingOver,
             (_, Command::Stop) => Phase::Stopping,
         };
+        if command == Command::Stop {
+            self.stopped_at.get_or_insert(now);
+        }
         if next != self.phase {
             self.standby_since = match self.phase {
                 Phase::Standby => Some(self.phase_since),
@@ -194,15 +197,23 @@
                 Phase::Warming => Some(f64::NEG_INFINITY),
                 _ => None,
             };
-            (self.phase, self.phase_since, self.commanded_at) = (next, now, now);
+            (self.phase, self.phase_since) = (next, now);
         }
         Ok(next)
     }
 
-    /// Sets how long the command that began the present phase may have waited before it was read. The platform counts
-    /// the time to the kill from when it sent the command.
-    pub fn backdate_command(&mut self, delay_ms: Millis) {
-        self.commanded_at = self.phase_since - delay_ms.max(0.0);
+    /// Sets how long the stop may have waited before it was read, which is long if the process was stalled. The platform
+    /// counts the time to the kill from when it sent the stop.
+    pub fn backdate_stop(&mut self, delay_ms: Millis) {
+        if let Some(stopped_at) = &mut self.stopped_at {
+            *stopped_at -= delay_ms.max(0.0);
+        }
+    }
+
+    /// The last time at which an answer can be given, since the platform may kill the process then; infinite unless the
+    /// process has been asked to stop. A hand-over does not change it.
+    pub fn last_answer_at(&self) -> Millis {
+        self.stopped_at.map_or(f64::INFINITY, |stopped_at| stopped_at + self.timings.kill_after_ms)
     }
 
     /// Whether new clients may be sent to this limiter.
@@ -230,12 +241,9 @@
         self.phase == Phase::Stopping && !warmed_up && !self.accepts_connections(now)
     }
 
-    /// Time left for an answer before the platform may kill the process; infinite unless the process is stopping.
+    /// Time left for an answer before the platform may kill the process; infinite unless it has been asked to stop.
     pub fn remaining_ms(&self, now: Millis) -> Millis {
-        match self.phase {
-            Phase::Stopping => (self.commanded_at + self.timings.kill_after_ms - now).max(0.0),
-            _ => f64::INFINITY,
-        }
+        (self.last_answer_at() - now).max(0.0)
     }
 
     /// Whether a connection stays open after an answer.
@@ -360,13 +368,27 @@
         );
     }
 
+    /// Guards against answers that are planned for after SIGKILL because the stopped process has handed over meanwhile.
+    #[test]
+    fn a_hand_over_does_not_prolong_the_time_of_answers() {
+        let mut lifecycle = Lifecycle::new(Timings { kill_after_ms: 3400.0, ..Timings::default() });
+        lifecycle.set_can_serve(0.0, true);
+        assert_eq!(lifecycle.last_answer_at(), f64::INFINITY);
+        assert_eq!(lifecycle.handle(100.0, Command::Stop), Ok(Phase::Stopping));
+        lifecycle.backdate_stop(50.0);
+        assert_eq!(lifecycle.handle(200.0, Command::HandOver), Ok(Phase::HandingOver));
+        assert_eq!((lifecycle.last_answer_at(), lifecycle.remaining_ms(3000.0)), (3450.0, 450.0));
+        assert_eq!(lifecycle.handle(300.0, Command::Stop), Ok(Phase::HandingOver));
+        assert_eq!(lifecycle.last_answer_at(), 3450.0, "the platform counts from the first stop");
+    }
+
     /// Guards against answers that are planned for after SIGKILL because SIGTERM arrived while the process was stalled.
     #[test]
     fn a_stop_that_was_read_late_leaves_less_time() {
         let mut lifecycle = Lifecycle::new(Timings { kill_after_ms: 3400.0, ..Timings::default() });
         lifecycle.set_can_serve(0.0, true);
         assert_eq!(lifecycle.handle(2000.0, Command::Stop), Ok(Phase::Stopping));
-        lifecycle.backdate_command(1500.0);
+        lifecycle.backdate_stop(1500.0);
         assert_eq!(lifecycle.remaining_ms(2000.0), 1900.0);
         assert!(
             lifecycle.accepts_connections(2599.0),
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -336,10 +336,12 @@
         self.can_serve();
         let before = self.phase();
         let now = self.now();
+        let already_stopped = self.with_lifecycle(|life, _| life.last_answer_at().is_finite());
         let result = self.lifecycle.borrow_mut().handle(now, command);
+        if command == Command::Stop && !already_stopped {
+            self.expect_kill(now);
+        }
         if self.phase() != before {
-            let waited_ms = self.stall_detector.borrow_mut().max_queued_ms(now);
-            self.lifecycle.borrow_mut().backdate_command(waited_ms);
             let phase = self.phase();
             info!(event = "phase", from = %before, to = %phase, "phase changed from {before} to {phase}");
             self.phase_changed.notify_waiters();
@@ -347,6 +349,14 @@
         result
     }
 
+    /// Computes from a stop that was read at `now` when the process may be killed, and notifies the engine.
+    fn expect_kill(&self, now: f64) {
+        let waited_ms = self.stall_detector.borrow_mut().max_queued_ms(now);
+        self.lifecycle.borrow_mut().backdate_stop(waited_ms);
+        let at = self.with_lifecycle(|life, _| life.last_answer_at());
+        self.handle_input(&mut self.state.borrow_mut(), Input::KillExpected { at });
+    }
+
     /// Binds the address for messages from peers, if one is configured.
     ///
     /// # Errors
@@ -552,8 +562,6 @@
         if !matches!(content.body, Payload::Streamed(_)) {
             request.budget_ms -= self.stall_detector.borrow_mut().max_queued_ms(self.now());
         }
-        // The process exits then, so a longer budget is of no use.
-        request.budget_ms = request.budget_ms.min(self.with_lifecycle(Lifecycle::remaining_ms));
         let mut state = self.state.borrow_mut();
         let correlation_id = content.correlation_id.as_bytes().into();
         let id = self.handle_input(&mut state, Input::Request { correlation_id, request })?;
--- a/marldeal/tests/upgrade.rs
+++ b/marldeal/tests/upgrade.rs
@@ -11,11 +11,12 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use command_fds::{CommandFdExt, FdMapping};
 use marldeal::upgrade::frame::{Frame, VERSION};
 use marldeal_standin::discovery::{update_line, Discovery};
+use marldeal_standin::message::read;
 use marldeal_standin::TIMEOUT;
 use stubs::{
     config, exchange, get, post, read_answer, server_with_held_requests, shim, wait_for, write_ok,
@@ -207,6 +208,67 @@
     assert_eq!(exchange(&mut slow, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status, 200);
 }
 
+/// Longest deadline of the settings in the test of SIGKILL.
+const LONGEST_DEADLINE: Duration = Duration::from_millis(1500);
+/// SIGKILL follows SIGTERM after the longest deadline and 0.7 s.
+const SIGKILL_AFTER: Duration = LONGEST_DEADLINE.saturating_add(Duration::from_millis(700));
+/// The bookings arrive whole this long after SIGTERM.
+const BODY_COMPLETE_AFTER: Duration = Duration::from_millis(1800);
+
+/// Ends the old process as the platform does, and then completes the bookings. Returns the status of each answer, or
+/// nothing where the connection ended without one.
+fn complete_bookings_while_ending(old: &Process, bookings: [(TcpStream, String); 2]) -> Vec<Option<u16>> {
+    let terminated = Instant::now();
+    old.signal("TERM");
+    let clients = bookings.map(|(mut stream, rest)| {
+        std::thread::spawn(move || {
+            std::thread::sleep(BODY_COMPLETE_AFTER);
+            stream.write_all(rest.as_bytes()).expect("write");
+            read(&mut stream).map(|answer| answer.status)
+        })
+    });
+    std::thread::sleep(SIGKILL_AFTER.saturating_sub(terminated.elapsed()));
+    old.signal("KILL");
+    clients.into_iter().map(|client| client.join().expect("the client ends")).collect()
+}
+
+/// Guards against bookings that are open when the platform kills their process. Their bodies arrive whole long after
+/// SIGTERM, one is held in memory and one is streamed, and their server takes longer than the process has left. A
+/// process that hands over and one that just stops have to answer alike.
+#[test]
+fn bookings_that_arrive_late_at_an_ending_process_are_answered_before_sigkill() {
+    for upgraded in [true, false] {
+        let server = Stub::new(|_, stream| {
+            std::thread::sleep(Duration::from_secs(3));
+            write_ok(stream, "too late")
+        });
+        let deadline = format!(r#""LateWorth":0,"DeadlineMs":{}"#, LONGEST_DEADLINE.as_millis());
+        let environment = Environment::new(&[("s-1", &server, "active")]).alter(|config| {
+            config.replace(r#""LateWorth":0"#, &deadline).replace(r#""memory_mb":192"#, r#""memory_mb":20"#)
+        });
+        let old = environment.start();
+        wait_until_serving(&old);
+        let new = upgraded.then(|| {
+            let new = environment.start();
+            wait_until_serving(&new);
+            new
+        });
+        let bookings = [("held", 1000, 500), ("streamed", 700_000, 600_000)].map(|(key, length, sent)| {
+            let request = post("book", key, "", &"b".repeat(length));
+            let request = request.replace("X-Time-Left: 3.0", "X-Time-Left: 8.0");
+            let (first, rest) = request.split_at(sent);
+            let mut stream = environment.connect();
+            stream.write_all(first.as_bytes()).expect("write");
+            (stream, rest.to_string())
+        });
+        wait_for("the streamed booking", || old.stat("outstanding") == 1);
+        let answers = complete_bookings_while_ending(&old, bookings);
+        // The server may have run them.
+        assert_eq!(answers, [Some(502), Some(502)], "upgraded: {upgraded}");
+        drop(new);
+    }
+}
+
 /// A partial request that the old process has read is completed and answered by the new one.
 #[test]
 fn partial_request_is_handed_over() {
