Unread bytes that the kernel does not tell count as the rest of a body

Change: the number is optional; unknown means that the body may be whole, so that the time runs. The failing call itself is not tested: no shim of ours fails that call.

--- a/marldeal/src/payload/streamed_body.rs
+++ b/marldeal/src/payload/streamed_body.rs
@@ -72,19 +72,20 @@
     }
 
     /// Whether the client is known to have more of the body to send, while the server takes what arrives. `unread` is
-    /// the number of bytes that the client's socket holds.
+    /// the number of bytes that the client's socket holds, if that is known.
     ///
     /// A server that takes nothing leaves the client's last bytes unread, so that their arrival cannot be told from
     /// what was received. Then only a declared length shows that more is to come.
-    pub fn is_arriving(&self, unread: u64) -> bool {
+    pub fn is_arriving(&self, unread: Option<u64>) -> bool {
         if self.ended.get() {
             return false;
         }
         if self.awaits_client.get() {
             return true;
         }
-        let arrived_at_most = self.received.get() + MAX_BYTES_IN_TRANSIT + unread;
-        let more_to_come = self.declared_length.is_some_and(|length| arrived_at_most < length);
+        let arrived_at_most = unread.map(|unread| self.received.get() + MAX_BYTES_IN_TRANSIT + unread);
+        let more_to_come =
+            arrived_at_most.zip(self.declared_length).is_some_and(|(arrived, length)| arrived < length);
         more_to_come && self.passed_on_at.get().elapsed() < TRANSFER_IDLE_TIMEOUT
     }
 
--- a/marldeal/src/socket.rs
+++ b/marldeal/src/socket.rs
@@ -65,10 +65,11 @@
         }
     }
 
-    /// Asks the kernel how many bytes are unread at this moment; 0 if the connection has ended. Costs one system call.
-    pub fn unread_bytes(&self) -> u64 {
+    /// Asks the kernel how many bytes are unread at this moment. Returns nothing if the connection has ended or the
+    /// kernel does not tell. Costs one system call.
+    pub fn unread_bytes(&self) -> Option<u64> {
         let stream = self.0.borrow();
-        stream.as_ref().and_then(|s| rustix::io::ioctl_fionread(&s.stream).ok()).unwrap_or(0)
+        rustix::io::ioctl_fionread(&stream.as_ref()?.stream).ok()
     }
 
     /// Asks the kernel whether the remote side has closed or reset the connection, or has stopped sending, even if
