A process that hands over asks its successor for units instead of granting them

For requests whose bodies ended later it granted from its own accounts, spent its own share as a member and its own slow-start budget, while the new process did so from its copies. The successor answers for the accounts that it holds and passes messages to and from other limiters. At any moment one process holds each account, so that no timing between the two can grant twice. Without an answer the old process refuses. Also: upgrade/channel.rs and driver/peer_messages.rs are split off; their code is unchanged but for the link.

--- a/crates/bench/src/outage.rs
+++ b/crates/bench/src/outage.rs
@@ -231,7 +231,7 @@
 /// Gives the limiter the state of servers that it knows by experience.
 fn set_server_states(engine: &mut Engine, case: Case, rng: &mut rand::rngs::SmallRng) {
     let (written_at, wall_time) = (MonotonicTime::from_millis(0.0), WallTime::from_unix_millis(0.0));
-    let mut state = engine.snapshot(0.0, written_at, wall_time, SnapshotKind::Final).state;
+    let mut state = engine.snapshot(0.0, written_at, wall_time, SnapshotKind::Running).state;
     for (_, server) in &mut state.servers {
         if case.starts_ejected() {
             (server.ejected, server.silences) = ((FOREVER_MS, 8000.0), 3);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -140,6 +140,11 @@
         /// The last time at which an answer can be given.
         at: Millis,
     },
+    /// A message was received from the other process of this limiter, during a hand-over.
+    HandoverMessage {
+        /// The message.
+        body: Vec<u8>,
+    },
     /// The time returned by [`Engine::next_due`] has come.
     TimerExpired,
 }
@@ -213,6 +218,11 @@
         /// The message.
         body: Vec<u8>,
     },
+    /// Send a message to the other process of this limiter, during a hand-over.
+    SendHandoverMessage {
+        /// The message.
+        body: Vec<u8>,
+    },
     /// Close idle connections to a server.
     CloseIdle {
         /// The server.
@@ -373,6 +383,7 @@
                 self.events.push_back(Event::MessageReceived { from, body });
             }
             Input::KillExpected { at } => self.last_answer_at = at,
+            Input::HandoverMessage { body } => self.events.push_back(Event::HandoverMessage { body }),
             Input::TimerExpired => self.expire_timers(now, out),
         }
         self.process_events(now, out);
@@ -431,9 +442,10 @@
     }
 
     /// Returns the state at `now` for a successor process. `written_at` and `wall_time` are the same moment on the
-    /// machine's clocks. `kind` says what this process does from here on.
+    /// machine's clocks. `kind` says what this process does from here on: with a final snapshot the decision module hands
+    /// its accounts over and grants nothing any more.
     pub fn snapshot(
-        &self,
+        &mut self,
         now: Millis,
         written_at: MonotonicTime,
         wall_time: WallTime,
@@ -443,7 +455,10 @@
             kind,
             wall_time,
             next_request: self.next_id,
-            state: self.limiter.export_state(now),
+            state: match kind {
+                SnapshotKind::Running => self.limiter.export_state(now),
+                SnapshotKind::Final => self.limiter.retire(now),
+            },
             written_at: Some(written_at),
         }
     }
@@ -669,6 +684,7 @@
             Action::Fail { id } => self.answer(id, Answer::Failed, out),
             Action::Wake { after_ms, token } => self.timers.push(now + after_ms.max(0.0), Timer::Wake(token)),
             Action::SendMessage { to, body } => out.push(Output::SendMessage { to, body }),
+            Action::SendHandoverMessage { body } => out.push(Output::SendHandoverMessage { body }),
             Action::CloseIdle { server } => out.push(Output::CloseIdle { server }),
             // The subscription is always open; subscribing again only refreshes it.
             Action::Subscribe(_) => out.push(Output::RefreshWatch),
--- a/crates/rehearsal/src/world/limiters.rs
+++ b/crates/rehearsal/src/world/limiters.rs
@@ -46,8 +46,12 @@
                         self.close_idle_connections(limiter, server);
                     }
                 }
-                // The virtual watch on the server list never fails, and nobody reads the log lines.
-                Output::RefreshWatch | Output::FetchServerList | Output::Log(_) => {}
+                // The virtual watch on the server list never fails, no limiter hands over, and nobody reads the log
+                // lines.
+                Output::RefreshWatch
+                | Output::FetchServerList
+                | Output::SendHandoverMessage { .. }
+                | Output::Log(_) => {}
             }
         }
         self.outputs = outputs;
--- a/crates/snapshot/tests/snapshot.rs
+++ b/crates/snapshot/tests/snapshot.rs
@@ -56,7 +56,7 @@
     MonotonicTime::from_millis(now - START + 5000.0)
 }
 
-fn snapshot_of(engine: &Engine, now: f64, kind: SnapshotKind) -> Snapshot {
+fn snapshot_of(engine: &mut Engine, now: f64, kind: SnapshotKind) -> Snapshot {
     engine.snapshot(now, at(now), WallTime::from_unix_millis(now), kind)
 }
 
@@ -94,21 +94,25 @@
 /// Old and new process together admit what one process would: the successor must not grant a used burst again.
 #[test]
 fn successor_grants_no_second_burst() {
-    let (old, now, admitted) = engine_with_used_quota();
+    let (mut old, now, admitted) = engine_with_used_quota();
     assert_eq!(admitted, 8, "one burst");
-    let bytes = snapshot_of(&old, now, SnapshotKind::Final).to_bytes(&settings());
+    let bytes = snapshot_of(&mut old, now, SnapshotKind::Final).to_bytes(&settings());
     let mut new = engine(2, now + 20.0);
     let read = Snapshot::from_bytes(&bytes, &settings()).expect("intact snapshot");
     new.restore(now + 30.0, assess(read, at(now + 30.0)));
     assert!(new.is_ready(now + 30.0), "the successor takes over the filled ceilings");
     assert!((0..20).all(|n| !admits(&mut new, now + 31.0, n, 7)), "the quota is used up");
     assert!(admits(&mut new, now + 32.0, 100, 8), "another customer has its own quota");
-    // From then on the successor admits as much as the old process would have.
-    let mut old = old;
+    assert!(
+        (0..20).all(|n| !admits(&mut old, now + 33.0, 200 + n, 9)),
+        "the old process grants nothing any more"
+    );
+    // From then on the successor admits as much as a process that has not handed over.
+    let (mut unchanged, ..) = engine_with_used_quota();
     let admitted_later = |engine: &mut Engine| {
         (0..1000).filter(|n| admits(engine, now + 40.0 + f64::from(*n) * 10.0, 200 + n, 7)).count()
     };
-    let (by_new, by_old) = (admitted_later(&mut new), admitted_later(&mut old));
+    let (by_new, by_old) = (admitted_later(&mut new), admitted_later(&mut unchanged));
     assert!(by_new.abs_diff(by_old) <= 3 && by_new <= 21, "{by_new} and {by_old} in 10 s");
 }
 
@@ -125,8 +129,8 @@
 /// After a crash only an earlier snapshot is left: servers are known, but ceilings start as if used up.
 #[test]
 fn hints_do_not_fill_ceilings() {
-    let (old, now, _) = engine_with_used_quota();
-    let bytes = snapshot_of(&old, now, SnapshotKind::Running).to_bytes(&settings());
+    let (mut old, now, _) = engine_with_used_quota();
+    let bytes = snapshot_of(&mut old, now, SnapshotKind::Running).to_bytes(&settings());
     let mut new = engine(2, now + 500.0);
     let read = Snapshot::from_bytes(&bytes, &settings()).expect("intact snapshot");
     let assessment = assess(read, at(now + 500.0));
@@ -138,8 +142,8 @@
 
 #[test]
 fn snapshot_is_discounted_by_age_and_finally_unused() {
-    let (old, now, _) = engine_with_used_quota();
-    let mut snapshot = snapshot_of(&old, now, SnapshotKind::Running);
+    let (mut old, now, _) = engine_with_used_quota();
+    let mut snapshot = snapshot_of(&mut old, now, SnapshotKind::Running);
     for (_, s) in &mut snapshot.state.servers {
         (s.errors, s.silences, s.ejected) = (0.4, 3, (5000.0, 8000.0));
     }
@@ -163,9 +167,9 @@
 /// from it: the snapshot would be ignored, or a quota refilled for time that has not passed.
 #[test]
 fn a_stepped_wall_clock_does_not_age_a_snapshot() {
-    let (old, now, _) = engine_with_used_quota();
+    let (mut old, now, _) = engine_with_used_quota();
     for stepped_ms in [-3_600_000.0, -3000.0, 3000.0, 3_600_000.0] {
-        let written = snapshot_of(&old, now, SnapshotKind::Final).to_bytes(&settings());
+        let written = snapshot_of(&mut old, now, SnapshotKind::Final).to_bytes(&settings());
         let read = Snapshot::from_bytes(&written, &settings()).expect("intact snapshot");
         // The reader's engine counts from its own wall clock.
         let now_of_reader = now + stepped_ms + 10.0;
@@ -180,8 +184,8 @@
 /// encoded by position, and what it does not know stands behind the others.
 #[test]
 fn snapshots_are_readable_across_releases() {
-    let (old, now, _) = engine_with_used_quota();
-    let snapshot = snapshot_of(&old, now, SnapshotKind::Final);
+    let (mut old, now, _) = engine_with_used_quota();
+    let snapshot = snapshot_of(&mut old, now, SnapshotKind::Final);
     let before = Snapshot { written_at: None, ..snapshot.clone() };
     let (bytes, bytes_before) = (snapshot.to_bytes(&settings()), before.to_bytes(&settings()));
     assert_eq!(Snapshot::from_bytes(&bytes, &settings()), Ok(snapshot));
@@ -199,8 +203,8 @@
 
 #[test]
 fn invalid_bytes_are_rejected_with_the_reason() {
-    let (old, now, _) = engine_with_used_quota();
-    let good = snapshot_of(&old, now, SnapshotKind::Final).to_bytes(&settings());
+    let (mut old, now, _) = engine_with_used_quota();
+    let good = snapshot_of(&mut old, now, SnapshotKind::Final).to_bytes(&settings());
     let read = |bytes: &[u8]| Snapshot::from_bytes(bytes, &settings());
     assert!(read(&good).is_ok());
     assert_eq!(read(&[]), Err(ReadError::NotASnapshot));
@@ -215,7 +219,7 @@
     other_settings.plans[0].rate = 3.0;
     assert_eq!(Snapshot::from_bytes(&good, &other_settings), Err(ReadError::Settings));
     // A record that is invalid under these settings, with a correct checksum.
-    let mut invalid = snapshot_of(&old, now, SnapshotKind::Final);
+    let mut invalid = snapshot_of(&mut old, now, SnapshotKind::Final);
     invalid.state.accounts[0].1.plan = 9;
     assert!(matches!(read(&invalid.to_bytes(&settings())), Err(ReadError::Corrupt(_))));
 }
@@ -223,8 +227,8 @@
 /// The encoding stays within its maximum size for any number of customers, and remains readable.
 #[test]
 fn encoded_size_is_bounded() {
-    let (old, now, _) = engine_with_used_quota();
-    let mut snapshot = snapshot_of(&old, now, SnapshotKind::Final);
+    let (mut old, now, _) = engine_with_used_quota();
+    let mut snapshot = snapshot_of(&mut old, now, SnapshotKind::Final);
     let (customer, account) = (snapshot.state.customers[0], snapshot.state.accounts[0]);
     snapshot.state.customers = (0..100_000).map(|n| (n, customer.1)).collect();
     snapshot.state.accounts = (0..100_000).map(|n| (n, account.1)).collect();
@@ -237,7 +241,7 @@
     /// A change of any one byte is detected, and no input makes the reader panic.
     #[test]
     fn any_corrupt_byte_is_detected(at in any::<prop::sample::Index>(), flip in 1u8..=255, noise in prop::collection::vec(any::<u8>(), 0..200)) {
-        let mut bytes = snapshot_of(&engine(1, START), START + 100.0, SnapshotKind::Final).to_bytes(&settings());
+        let mut bytes = snapshot_of(&mut engine(1, START), START + 100.0, SnapshotKind::Final).to_bytes(&settings());
         let at = at.index(bytes.len());
         bytes[at] ^= flip;
         prop_assert!(Snapshot::from_bytes(&bytes, &settings()).is_err());
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -2,6 +2,8 @@
 //! belong to the fronts and to [`Upstream`].
 
 mod clock;
+mod handover_link;
+mod peer_messages;
 mod permission;
 mod proxied;
 mod stall_tracking;
@@ -34,6 +36,9 @@
 use crate::settings::server_list::{self, DiscoverySource, ServerUpdate, MAX_SERVERS};
 use crate::socket::SharedSocket;
 use clock::Clock;
+use handover_link::HandoverLinks;
+pub use handover_link::LinkRole;
+pub use peer_messages::MAX_DATAGRAM_BYTES;
 pub use proxied::ProxyReply;
 use proxied::ProxyRequests;
 
@@ -203,6 +208,8 @@
     peer_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Notified when the peer socket has been closed.
     pub peer_socket_closed: Notify,
+    /// The links to other processes of this limiter.
+    links: RefCell<HandoverLinks>,
     /// A snapshot of a predecessor has been restored.
     snapshot_restored: Cell<bool>,
     /// Another process of this limiter is running: each may use half of each limit.
@@ -216,9 +223,6 @@
     pub body_budget: Rc<Budget>,
 }
 
-/// Longest datagram between limiters, in bytes.
-pub const MAX_DATAGRAM_BYTES: usize = 256;
-
 /// How long a request is on its way to the limiter and an attempt on its way to the server, in milliseconds, beyond what the
 /// limiter's clock shows. The time that an attempt names may exceed what the client has left by 0.15 s, and a process
 /// may be held up for all of that before it writes.
@@ -269,6 +273,7 @@
             clock,
             peer_socket: RefCell::default(),
             peer_socket_closed: Notify::new(),
+            links: RefCell::default(),
             snapshot_restored: Cell::new(false),
             overlapping: Cell::new(second),
             upstream,
@@ -357,23 +362,6 @@
         self.handle_input(&mut self.state.borrow_mut(), Input::KillExpected { at });
     }
 
-    /// Binds the address for messages from peers, if one is configured.
-    ///
-    /// # Errors
-    /// The address cannot be bound, for instance because another process holds it.
-    pub async fn open_peer_socket(&self) -> std::io::Result<Option<Rc<UdpSocket>>> {
-        let Some(at) = self.config.peer_listen else { return Ok(None) };
-        let socket = Rc::new(UdpSocket::bind(at).await?);
-        *self.peer_socket.borrow_mut() = Some(socket.clone());
-        Ok(Some(socket))
-    }
-
-    /// Stops sending and receiving messages between peers: no quota is granted to peers from here on.
-    pub fn close_peer_socket(&self) {
-        drop(self.peer_socket.borrow_mut().take());
-        self.peer_socket_closed.notify_waiters();
-    }
-
     /// Sets whether another process of this limiter is running, and adapts the limits.
     pub fn set_overlapping(&self, overlapping: bool) {
         self.overlapping.set(overlapping);
@@ -395,10 +383,11 @@
         self.upstream.trim(0);
     }
 
-    /// The present state, encoded.
+    /// The present state, encoded. With a final snapshot this process hands its accounts over and grants nothing any
+    /// more.
     pub fn snapshot(&self, kind: SnapshotKind) -> Vec<u8> {
         let (written_at, wall_time) = (self.clock.monotonic_time(), self.clock.wall_time());
-        let snapshot = self.state.borrow().engine.snapshot(self.now(), written_at, wall_time, kind);
+        let snapshot = self.state.borrow_mut().engine.snapshot(self.now(), written_at, wall_time, kind);
         snapshot.to_bytes(&self.config.settings)
     }
 
@@ -485,13 +474,6 @@
         self.reload_counts.set(reloads);
     }
 
-    /// Handles a message from a peer.
-    pub fn receive_peer_message(self: &Rc<Self>, from: u32, body: Vec<u8>) {
-        let mut state = self.state.borrow_mut();
-        self.handle_input(&mut state, Input::MessageReceived { from, body });
-        self.execute_outputs(&mut state, None);
-    }
-
     /// Handles an update of the server list from discovery.
     pub fn update_servers(self: &Rc<Self>, update: ServerUpdate) {
         let first = !self.list_received.replace(true);
@@ -737,6 +719,7 @@
                     }
                 }
                 Output::SendMessage { to, body } => self.send_to_peer(to, &body),
+                Output::SendHandoverMessage { body } => self.send_handover_message(body),
                 Output::CloseIdle { server } => self.upstream.close_idle(&server),
                 Output::RefreshWatch => self.list_refresh.send_modify(|_| {}),
                 Output::FetchServerList => self.list_refresh.send_modify(|times| *times += 1),
@@ -748,20 +731,6 @@
         }
     }
 
-    /// Sends a datagram to one peer or to all. It is dropped if the socket's buffer is full, as any datagram may
-    /// be lost.
-    fn send_to_peer(&self, to: Option<u32>, body: &[u8]) {
-        let to = match to {
-            Some(position) => self.config.peers.get(position as usize).copied(),
-            None => self.config.peers_all,
-        };
-        if let (Some(socket), Some(to), true) =
-            (&*self.peer_socket.borrow(), to, body.len() <= MAX_DATAGRAM_BYTES)
-        {
-            let _ = socket.try_send_to(body, to);
-        }
-    }
-
     /// Calls the engine whenever something is due. Never returns.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
--- a/marldeal/src/upgrade/frame.rs
+++ b/marldeal/src/upgrade/frame.rs
@@ -29,8 +29,24 @@
     },
     /// From the old process: another new process is connected already.
     Busy,
+    /// After the final snapshot, in both directions. The new process sends none before it has received one, since old
+    /// processes of earlier releases do not know them.
+    Message(LinkMessage),
 }
 
+/// A message of the decision module that passes between the two processes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LinkMessage {
+    /// The position of the peer that it is for, or that it came from. `None` for a message between the two processes
+    /// themselves.
+    pub peer: Option<u32>,
+    /// The message.
+    pub body: Bytes,
+}
+
+/// The position that stands for none.
+const NO_PEER: u32 = u32::MAX;
+
 /// Describes a frame for the log, without its bytes, which belong to clients.
 impl fmt::Display for Frame {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
@@ -39,6 +55,7 @@
             Frame::Snapshot(bytes) => write!(f, "sends a snapshot of {} bytes", bytes.len()),
             Frame::Connection { .. } => f.write_str("passes a connection"),
             Frame::Busy => f.write_str("is busy"),
+            Frame::Message(_) => f.write_str("sends a message"),
         }
     }
 }
@@ -62,6 +79,11 @@
                 3
             }
             Frame::Busy => 4,
+            Frame::Message(message) => {
+                body.put_u32(message.peer.unwrap_or(NO_PEER));
+                body.extend_from_slice(&message.body);
+                5
+            }
         };
         let mut frame = BytesMut::with_capacity(HEADER_BYTES + body.len());
         frame.put_u8(kind);
@@ -96,6 +118,10 @@
                 Ok(Some(Frame::Connection { request_age_ms, read_ahead: body }))
             }
             (4, 0) => Ok(Some(Frame::Busy)),
+            (5, 4..) => {
+                let peer = Some(body.get_u32()).filter(|position| *position != NO_PEER);
+                Ok(Some(Frame::Message(LinkMessage { peer, body })))
+            }
             _ => Err("a frame makes no sense"),
         }
     }
@@ -114,6 +140,8 @@
             (prop::option::of(0..u32::MAX - 1), bytes())
                 .prop_map(|(request_age_ms, read_ahead)| Frame::Connection { request_age_ms, read_ahead }),
             Just(Frame::Busy),
+            (prop::option::of(0..NO_PEER), bytes())
+                .prop_map(|(peer, body)| Frame::Message(LinkMessage { peer, body })),
         ]
     }
 
--- a/marldeal/src/upgrade/mod.rs
+++ b/marldeal/src/upgrade/mod.rs
@@ -3,31 +3,26 @@
 //! for this design.
 
 use std::cell::{Cell, RefCell};
-use std::io::{self, IoSlice, IoSliceMut};
-use std::mem::MaybeUninit;
+use std::io;
 use std::net::TcpStream;
-use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use marldeal_lifecycle::{Command, Phase};
 use marldeal_snapshot::SnapshotKind;
-use rustix::net::{
-    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
-    SendAncillaryMessage, SendFlags,
-};
-use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::timeout;
 
-use crate::driver::Driver;
+use crate::driver::{Driver, LinkRole};
 use crate::tier::peers;
-use frame::Frame;
+use channel::FrameChannel;
+use frame::{Frame, LinkMessage};
 use tracing::info;
 
+mod channel;
 pub mod frame;
 pub mod inherit;
 
@@ -35,8 +30,6 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The interval at which binding an address is retried while the other process still holds it.
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
-/// Most descriptors accepted with one read.
-const MAX_DESCRIPTORS_PER_READ: usize = 32;
 
 /// A client's connection on its way from one process to the other. No bytes are waiting to be written on it.
 #[derive(Debug)]
@@ -132,8 +125,28 @@
     let _ = driver.handle_command(Command::TakeOver);
     tokio::task::spawn_local(receive_peer_messages(driver.clone()));
     tokio::task::spawn_local(accept_successors(driver.clone(), endpoint.clone()));
+    receive_from_predecessor(&driver, &mut channel, arrivals).await;
+    driver.disconnect_link(LinkRole::Predecessor);
+    driver.set_overlapping(endpoint.successor.connected.get());
+    info!("the predecessor has gone");
+}
+
+/// Receives the predecessor's connections and messages, and sends it messages, until it has gone.
+async fn receive_from_predecessor(
+    driver: &Rc<Driver>,
+    channel: &mut FrameChannel,
+    arrivals: mpsc::UnboundedSender<TransferredConnection>,
+) {
+    let (sender, mut messages) = mpsc::unbounded_channel();
     loop {
-        match channel.receive().await {
+        let received = tokio::select! {
+            received = channel.receive() => received,
+            Some(message) = messages.recv() => match send_message(channel, message).await {
+                Ok(()) => continue,
+                Err(e) => Err(e),
+            },
+        };
+        match received {
             Ok(Some((Frame::Connection { request_age_ms, read_ahead }, Some(fd)))) => {
                 let stream = TcpStream::from(fd);
                 let request_age = request_age_ms.map(|ms| Duration::from_millis(ms.into()));
@@ -141,17 +154,22 @@
                     let _ = arrivals.send(TransferredConnection { stream, request_age, read_ahead });
                 }
             }
+            Ok(Some((Frame::Message(message), _))) => {
+                driver.connect_link(LinkRole::Predecessor, sender.clone());
+                driver.receive_link_message(LinkRole::Predecessor, message);
+            }
             Ok(Some((Frame::Snapshot(_), _))) => info!("ignored a snapshot that arrived too late"),
             Ok(Some((other, _))) => info!("the predecessor {other} out of turn"),
-            Ok(None) => break,
-            Err(e) => {
-                info!("the predecessor: {e}");
-                break;
-            }
+            Ok(None) => return,
+            Err(e) => return info!("the predecessor: {e}"),
         }
     }
-    driver.set_overlapping(endpoint.successor.connected.get());
-    info!("the predecessor has gone");
+}
+
+/// Sends a message of the decision module to the other process.
+async fn send_message(channel: &mut FrameChannel, message: LinkMessage) -> io::Result<()> {
+    let frame = Frame::Message(message);
+    timeout(RESPONSE_TIMEOUT, channel.send(&frame, None)).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
 }
 
 /// Restores snapshots until the final one. Returns the reason to take over, or nothing if another process is to
@@ -296,98 +314,64 @@
     let _ = driver.handle_command(Command::HandOver);
     driver.close_peer_socket();
     driver.close_idle_connections();
+    // From the final snapshot on this process asks its successor for the units of what it still receives.
+    let (sender, messages) = mpsc::unbounded_channel();
+    driver.connect_link(LinkRole::Successor, sender);
+    let outcome = hand_over(driver, channel, successor, messages).await;
+    driver.disconnect_link(LinkRole::Successor);
+    outcome
+}
+
+/// Sends the final snapshot and then connections and messages, until this process has no more connections or the
+/// successor has gone. Returns a description of the outcome.
+async fn hand_over(
+    driver: &Rc<Driver>,
+    channel: &mut FrameChannel,
+    successor: &Rc<SuccessorHandle>,
+    mut messages: mpsc::UnboundedReceiver<LinkMessage>,
+) -> String {
     let final_snapshot = Frame::Snapshot(driver.snapshot(SnapshotKind::Final).into());
     if !matches!(timeout(RESPONSE_TIMEOUT, channel.send(&final_snapshot, None)).await, Ok(Ok(()))) {
         return "it did not accept the final snapshot; this process closes the connections".to_string();
     }
-    let (sender, mut receiver) = mpsc::unbounded_channel();
+    let (sender, mut connections) = mpsc::unbounded_channel();
     *successor.connections.borrow_mut() = Some(sender);
     driver.phase_changed.notify_waiters();
     let mut count = 0;
-    while let Some(TransferredConnection { stream, request_age, read_ahead }) = receiver.recv().await {
-        let request_age_ms = request_age.map(|d| u32::try_from(d.as_millis()).unwrap_or(u32::MAX - 1));
-        let frame = Frame::Connection { request_age_ms, read_ahead };
-        if !matches!(timeout(RESPONSE_TIMEOUT, channel.send(&frame, Some(&stream))).await, Ok(Ok(()))) {
-            return format!("it stopped accepting connections after {count}");
-        }
-        count += 1;
-    }
-    format!("it accepted {count} connections")
-}
-
-// ---- Frames and descriptors ----
-
-/// Exchanges frames over a Unix socket, with the descriptors that accompany them.
-struct FrameChannel {
-    stream: UnixStream,
-    buffer: BytesMut,
-    descriptors: std::collections::VecDeque<OwnedFd>,
-}
-
-impl FrameChannel {
-    fn new(stream: UnixStream) -> FrameChannel {
-        FrameChannel { stream, buffer: BytesMut::new(), descriptors: Default::default() }
-    }
-
-    async fn send(&mut self, frame: &Frame, descriptor: Option<&TcpStream>) -> io::Result<()> {
-        let bytes = frame.to_bytes();
-        let (mut sent, mut descriptor) = (0, descriptor.map(AsFd::as_fd));
-        while sent < bytes.len() {
-            self.stream.writable().await?;
-            let slices = [IoSlice::new(&bytes[sent..])];
-            let fds: Vec<_> = descriptor.into_iter().collect();
-            let written = self.stream.try_io(Interest::WRITABLE, || {
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
-                let mut control = SendAncillaryBuffer::new(&mut space);
-                if !fds.is_empty() {
-                    control.push(SendAncillaryMessage::ScmRights(&fds));
+    loop {
+        let sent = tokio::select! {
+            biased;
+            Some(message) = messages.recv() => send_message(channel, message).await.is_ok(),
+            received = channel.receive() => match received {
+                Ok(Some((Frame::Message(message), _))) => {
+                    driver.receive_link_message(LinkRole::Successor, message);
+                    true
                 }
-                Ok(sendmsg(&self.stream, &slices, &mut control, SendFlags::NOSIGNAL)?)
-            });
-            match written {
-                Ok(count) => {
-                    sent += count;
-                    // The descriptor is sent with the first bytes.
-                    descriptor = None;
+                Ok(Some((other, _))) => {
+                    info!("a successor {other} out of turn");
+                    true
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns the next frame with its descriptor, or nothing at the end of the stream. Cancel-safe: no bytes
-    /// are lost if the future is dropped between two reads.
-    async fn receive(&mut self) -> io::Result<Option<(Frame, Option<OwnedFd>)>> {
-        loop {
-            if let Some(frame) = Frame::decode(&mut self.buffer).map_err(io::Error::other)? {
-                let has_descriptor = matches!(frame, Frame::Connection { .. });
-                let fd = if has_descriptor { self.descriptors.pop_front() } else { None };
-                return Ok(Some((frame, fd)));
-            }
-            self.stream.readable().await?;
-            let mut chunk = [0; 16 << 10];
-            let FrameChannel { stream, descriptors, .. } = self;
-            let read = stream.try_io(Interest::READABLE, || {
-                let mut space =
-                    [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS_PER_READ))];
-                let mut control = RecvAncillaryBuffer::new(&mut space);
-                let mut slices = [IoSliceMut::new(&mut chunk)];
-                let read = recvmsg(&*stream, &mut slices, &mut control, RecvFlags::CMSG_CLOEXEC)?;
-                for message in control.drain() {
-                    if let RecvAncillaryMessage::ScmRights(fds) = message {
-                        descriptors.extend(fds);
-                    }
+                Ok(None) | Err(_) => false,
+            },
+            connection = connections.recv() => match connection {
+                Some(connection) => {
+                    count += 1;
+                    send_connection(channel, connection).await.is_ok()
                 }
-                Ok(read.bytes)
-            });
-            match read {
-                Ok(0) => return Ok(None),
-                Ok(count) => self.buffer.extend_from_slice(&chunk[..count]),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
+                None => return format!("it accepted {count} connections"),
+            },
+        };
+        if !sent {
+            return format!("it has gone after {count} connections");
         }
     }
 }
+
+/// Passes a client's connection to the successor.
+async fn send_connection(channel: &mut FrameChannel, connection: TransferredConnection) -> io::Result<()> {
+    let TransferredConnection { stream, request_age, read_ahead } = connection;
+    let request_age_ms = request_age.map(|d| u32::try_from(d.as_millis()).unwrap_or(u32::MAX - 1));
+    let frame = Frame::Connection { request_age_ms, read_ahead };
+    let sent = timeout(RESPONSE_TIMEOUT, channel.send(&frame, Some(&stream))).await;
+    sent.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+}
--- a/marldeal/tests/upgrade.rs
+++ b/marldeal/tests/upgrade.rs
@@ -269,6 +269,112 @@
     }
 }
 
+/// Depth (units) and rate (units per second) of the hard ceiling in the tests below. Its slack is one unit.
+const CEILING_DEPTH: f64 = 100.0;
+const CEILING_RATE: f64 = 25.0;
+/// What the first quota owner holds of the depth, where the quota is far above the ceiling.
+const FIRST_OWNER_SHARE: f64 = 0.62;
+
+/// A plan whose quota never binds, under a hard ceiling.
+fn ceiling(config: String) -> String {
+    let plan = format!(
+        r#""Rate":400,"StoreSize":1600,"HardRate":{CEILING_RATE},"NeverOverDepth":{CEILING_DEPTH},"CeilingSlack":1"#
+    );
+    config.replace(r#""Rate":0,"StoreSize":0"#, &plan)
+}
+
+/// A booking of which a process has read all but the last byte.
+struct UnfinishedBooking(TcpStream);
+
+impl UnfinishedBooking {
+    fn begin(environment: &Environment, request: &str) -> UnfinishedBooking {
+        let mut stream = environment.connect();
+        stream.write_all(&request.as_bytes()[..request.len() - 1]).expect("write");
+        UnfinishedBooking(stream)
+    }
+
+    fn send_rest(&mut self) {
+        self.0.write_all(b"x").expect("write");
+    }
+
+    fn status(mut self) -> u16 {
+        read_answer(&mut self.0).status
+    }
+}
+
+/// Guards against two processes that grant from the same accounts. The old process has handed over, and then receives
+/// the last bytes of many bookings; the new one receives as many requests of the same customer. Together they stay
+/// within the hard ceiling, and the old process gets units from the new one instead of refusing everything.
+#[test]
+fn hard_ceiling_holds_while_an_old_process_finishes_its_requests() {
+    const REQUESTS: usize = 80;
+    let server = ok_server();
+    let environment = Environment::new(&[("s-1", &server, "active")]).alter(ceiling);
+    let (old, new) = start_with_successor(&environment);
+    wait_until_serving(&old);
+    let mut bookings: Vec<_> = (0..REQUESTS)
+        .map(|n| UnfinishedBooking::begin(&environment, &post("book", &format!("old-{n}"), "", "xx")))
+        .collect();
+    // An answer to another request shows that the event loop has read them.
+    assert_eq!(environment.send_request("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status, 200);
+    wait_until_serving(&new);
+    old.signal("TERM");
+    new.wait_log("goes on as the same limiter");
+    let began = Instant::now();
+    bookings.iter_mut().for_each(UnfinishedBooking::send_rest);
+    let served = |bookings: Vec<UnfinishedBooking>| {
+        bookings.into_iter().map(UnfinishedBooking::status).filter(|s| *s == 200).count()
+    };
+    let by_old = served(bookings);
+    let mut requests: Vec<_> = (0..REQUESTS)
+        .map(|n| UnfinishedBooking::begin(&environment, &post("book", &format!("new-{n}"), "", "xx")))
+        .collect();
+    requests.iter_mut().for_each(UnfinishedBooking::send_rest);
+    let by_new = served(requests);
+    let bound = CEILING_DEPTH + 1.0 + CEILING_RATE * began.elapsed().as_secs_f64();
+    let forwarded = server.requests().len();
+    assert!(forwarded as f64 <= bound, "{forwarded} forwarded ({by_old} and {by_new}), allowed are {bound}");
+    let share = CEILING_DEPTH * FIRST_OWNER_SHARE;
+    assert!(by_old as f64 >= share / 2.0, "{by_old} of the bookings were served, the store held {share}");
+}
+
+/// Guards against bookings at a process that has handed over whose quota another limiter owns: its messages and the
+/// replies pass through the new process, which holds the address for datagrams.
+#[test]
+fn quota_owners_at_other_limiters_answer_a_process_that_has_handed_over() {
+    let pid = std::process::id();
+    let host = format!("127.88.{}.{}", pid >> 8 & 0xff, pid & 0xff);
+    let tier = |config: String, position: u32| {
+        let peers = format!(r#""{host}:7940","{host}:7941""#);
+        let addresses = format!(r#""peer_listen":"{host}:794{position}","peers":[{peers}],"known":"#);
+        ceiling(config)
+            .replace(r#""Balancers":1,"Position":0"#, &format!(r#""Balancers":2,"Position":{position}"#))
+            .replace(r#""known":"#, &addresses)
+    };
+    let server = ok_server();
+    let servers = [("s-1", &server, "active")];
+    let environment = Environment::new(&servers).alter(|config| tier(config, 0));
+    let old = environment.start();
+    let _peer = stubs::Limiter::with_config(&servers, |config| tier(config, 1));
+    wait_until_serving(&old);
+    let new = environment.start();
+    wait_until_serving(&new);
+    // Of many customers each limiter owns some. A later owner and the members hold a twentieth of the depth, and less
+    // than a booking of 20 units.
+    let mut bookings: Vec<_> = (0..8)
+        .map(|n| {
+            let request = post("book", &n.to_string(), "", "xx").replace("b4d65521", &format!("b4d6550{n}"));
+            UnfinishedBooking::begin(&environment, &request.replace("units=1,spread=1", "units=20,spread=2"))
+        })
+        .collect();
+    assert_eq!(environment.send_request("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").status, 200);
+    old.signal("TERM");
+    new.wait_log("goes on as the same limiter");
+    bookings.iter_mut().for_each(UnfinishedBooking::send_rest);
+    let statuses: Vec<_> = bookings.into_iter().map(UnfinishedBooking::status).collect();
+    assert_eq!(statuses, [200; 8]);
+}
+
 /// A partial request that the old process has read is completed and answered by the new one.
 #[test]
 fn partial_request_is_handed_over() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -278,6 +278,11 @@
         /// The message.
         body: Vec<u8>,
     },
+    /// A message from the other process of this limiter, during a hand-over.
+    HandoverMessage {
+        /// The message.
+        body: Vec<u8>,
+    },
     /// A counter call ended.
     Counted {
         /// Name of the counter.
@@ -344,6 +349,11 @@
         /// The message.
         body: Vec<u8>,
     },
+    /// Send a message to the other process of this limiter, during a hand-over.
+    SendHandoverMessage {
+        /// The message.
+        body: Vec<u8>,
+    },
     /// Add to a shared counter and get its total.
     Count {
         /// Name of the counter.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 
 mod accounts;
 mod customers;
+mod hand_over;
 pub mod interface;
 pub mod limiter_state;
 mod message;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -167,6 +167,7 @@
             Event::ClientDisconnected { id } => drop(self.cancel_request(id, false, out)),
             Event::Wake { token } => self.on_wake(token, out),
             Event::MessageReceived { from, body } => self.on_message(from, &body, out),
+            Event::HandoverMessage { body } => self.on_handover_message(&body, out),
             Event::Probed { .. } | Event::Counted { .. } => {}
         }
     }
@@ -369,7 +370,7 @@
         let units = open.request.units;
         let used = if open.attempts == 0 { 0.0 } else { open.actual_units.unwrap_or(units) };
         let done = Done { id, used: used as f32 };
-        if owner == self.settings.position {
+        if self.holds_accounts_of(owner) {
             // Nobody asks about this grant again, so its record is removed at once, whatever the request rate.
             self.on_done((owner, self.incarnation, id), done.used);
             self.grants.remove(&(owner, self.incarnation, id));
@@ -566,6 +567,9 @@
     /// first quota owner's store has enough left, and notifies the owner. Waiting for its reply would only add
     /// latency.
     fn spend_own_share(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if self.retired {
+            return self.ask_owner(id, out);
+        }
         let Some(request) = self.requests.get(&id).map(|open| open.request.clone()) else { return };
         let (me, plan) = (self.settings.position, &self.settings.plans[request.plan]);
         let first = quota_owner(request.customer, (request.first, request.spread), self.settings.limiters, 0);
@@ -635,14 +639,14 @@
             };
             let ask = self.ask_for(request);
             let seen_before = self.customers.get(&request.customer).is_some_and(|c| c.seen_before);
-            if owner == self.settings.position {
+            if self.holds_accounts_of(owner) {
                 // A later owner's part of a ceiling is small, and this limiter has its share as a member too.
                 let decisive = open.rank == 0 || self.settings.plans[request.plan].ceiling_rate <= 0.0;
                 let reply = self.answer_ask(owner, self.incarnation, &ask);
                 if let Some(reply) = reply.filter(|reply| reply.granted || decisive) {
                     return self.on_reply(owner, &reply, out);
                 }
-            } else if self.settings.may_tell
+            } else if (owner == self.settings.position || self.settings.may_tell)
                 && !silent(owner)
                 && self.can_send(owner, &Line::Ask(ask), seen_before)
             {
@@ -679,7 +683,7 @@
     }
 
     /// Applies a quota owner's reply to the customer's record and to the request that waits for it.
-    fn on_reply(&mut self, from: u32, reply: &Reply, out: &mut Vec<Action>) {
+    pub(crate) fn on_reply(&mut self, from: u32, reply: &Reply, out: &mut Vec<Action>) {
         if let Some(c) = self.customers.get_mut(&reply.customer) {
             (c.demand, c.demand_at, c.unreported) = (reply.demand, self.now, 0.0);
             c.store_left = f64::from(reply.store_left);
@@ -712,6 +716,9 @@
     /// the request (randomised rounding), so that the members' shares together stay within the ceiling however
     /// many decide at once.
     fn spend_equal_share(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if self.retired {
+            return self.give_final_answer(id, out);
+        }
         let draw = self.rng.f64();
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
@@ -734,6 +741,11 @@
         self.dispatch(id, out);
     }
 
+    /// Whether this process decides for a quota owner: it is the owner and has not handed its accounts over.
+    fn holds_accounts_of(&self, owner: u32) -> bool {
+        owner == self.settings.position && !self.retired
+    }
+
     /// Whether units granted under a ceiling were not spent in time; the quota owner no longer counts them.
     fn lease_expired(&self, open: &OpenRequest) -> bool {
         let has_ceiling = self.settings.plans[open.request.plan].ceiling_rate > 0.0;
@@ -837,6 +849,9 @@
 
     /// Whether a line to a peer would still be sent in time.
     fn can_send(&self, to: u32, line: &Line, seen_before: bool) -> bool {
+        if to == self.settings.position {
+            return self.retired;
+        }
         let wait_s =
             if seen_before { MAX_QUEUE_S } else { self.new_customer_queue_s(MAX_NEW_CUSTOMER_QUEUE_S) };
         (self.outbox.len() as f64) < (self.settings.messages_per_s * wait_s).max(2.0)
@@ -850,6 +865,9 @@
         if !self.can_send(to, &line, seen_before) {
             return;
         }
+        if to == self.settings.position {
+            return self.send_handover_line(line, out);
+        }
         match self.outbox.iter_mut().find(|(p, lines)| *p == to && fits_in_message(lines, &line)) {
             Some((_, lines)) => lines.push(line),
             None => self.outbox.push_back((to, vec![line])),
@@ -899,7 +917,7 @@
         for line in lines {
             match line {
                 // After a stall the asking members have moved on, and a grant would only waste units.
-                Line::Ask(ask) if self.resumed_at < self.now => {
+                Line::Ask(ask) if self.resumed_at < self.now && !self.retired => {
                     replies.extend(self.answer_ask(from, incarnation, &ask).map(Line::Reply));
                 }
                 Line::Reply(reply) if reply.incarnation == self.incarnation => {
--- a/src/selection.rs
+++ b/src/selection.rs
@@ -144,6 +144,7 @@
             attempts_per_server,
             mean_weight,
             typical_latency,
+            retired,
             ..
         } = self;
         let (request, now, typical) = (requests.get(&id)?, *now, *typical_latency);
@@ -161,7 +162,9 @@
                 if s.cold_since.is_none() {
                     warmed.push(at);
                 }
-                if !accepts || !allowed_by_key_group(request, s, settings) {
+                // The slow start of a server is one budget, which the successor holds.
+                let budget_handed_over = *retired && s.cold_since.is_some();
+                if !accepts || budget_handed_over || !allowed_by_key_group(request, s, settings) {
                     continue;
                 }
             }
@@ -201,6 +204,7 @@
             attempts_per_server,
             mean_weight,
             typical_latency,
+            retired,
             ..
         } = self;
         let request = requests.get(&id)?;
@@ -216,7 +220,8 @@
             if was_cold && s.cold_since.is_none() {
                 warmed.push(at);
             }
-            if !accepts || !allowed_by_key_group(request, s, settings) {
+            let budget_handed_over = *retired && s.cold_since.is_some();
+            if !accepts || budget_handed_over || !allowed_by_key_group(request, s, settings) {
                 continue;
             }
             let last = *now < s.ejected_until || request.last_server.as_ref() == Some(&s.entry.server);
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,6 +146,8 @@
     pub(crate) retry_budget: f64,
     /// Prefetched units, if prefetch is enabled.
     pub(crate) prefetch: Option<Box<Prefetch>>,
+    /// The accounts have been handed over to another process: nothing is granted or spent without asking.
+    pub(crate) retired: bool,
 }
 
 impl Limiter {
@@ -182,6 +184,7 @@
             process_started_at: now,
             incarnation: now as u64 as u32,
             has_started: false,
+            retired: false,
             older_peer_seen: false,
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -557,6 +557,11 @@
             let dest = to.map_or(Destination::All("*"), Destination::One);
             OutputAction::Tell { limiter_id, dest, body: to_hex(&body) }
         }
+        // An instance of the simulator has no other process to hand over to.
+        A::SendHandoverMessage { .. } => {
+            let line = "a message to another process of this limiter was dropped".to_string();
+            OutputAction::Remark { limiter_id, line }
+        }
         A::Count { name, add, life_ms } => {
             OutputAction::AddAndGet { limiter_id, entry_name: name, add, lifetime_ms: life_ms }
         }
