A test's refusing port is held, so that no other test's limiter gets it

Cause: attempt_that_reached_no_server_is_not_counted took a port by binding and closing it. Its log has "server s-2 at 127.0.0.1:38481", the other test's limiter "serves on 127.0.0.1:38481": the system had given the port away, and the requests that were to be refused reached that limiter. The product is not concerned. Change: the port is bound, not listened on and held for the test, so that connections are refused and nobody else gets it. All checks are as before.

--- a/marldeal/tests/management.rs
+++ b/marldeal/tests/management.rs
@@ -3,10 +3,11 @@
 mod stubs;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
 use stubs::{
     exchange, get, post, read_answer, ready, send_request, server_with_held_requests, update_line, wait_for,
     write_ok, Limiter, Stub,
@@ -53,14 +54,20 @@
     assert_eq!(limiter.stat("forwards"), server.requests().len() as u64);
 }
 
+/// A socket whose port refuses connections, and is given to nobody else, for as long as the socket is held.
+fn refusing_socket() -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+    socket
+}
+
 /// Guards against counting an attempt that a server never received completely.
 #[test]
 fn attempt_that_reached_no_server_is_not_counted() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    let dead = listener.local_addr().expect("an address");
+    let refusing = refusing_socket();
+    let dead = refusing.local_addr().ok().and_then(|a| a.as_socket()).expect("an address");
     let server = Stub::new(|_, stream| write_ok(stream, "done"));
     let limiter = Limiter::with_management(&[("s-1", &server, "active")], |c| c);
-    drop(listener);
     limiter.discovery.push(&update_line(2, true, &[("s-2", dead, "active")]));
     wait_for("the new list", || limiter.log().contains("s-2"));
     assert_eq!(send_request(&limiter, &get("look", "")).status, 429);
