Test addresses are derived from the process id, never bound and closed

Cause: test environments chose the addresses of limiters by binding sockets and closing them. The network of its own that gave each environment did not help: the copy is of the same environment's socket.

Shown: a test binds 9 addresses right after they were chosen, 150 times, while four threads start processes.

Change: marldeal_standin::addresses derives addresses from the process id and a count, at ports below those that the kernel chooses, and opens no socket. Related paths: the soak (which had the same function, and also listened again at a port that a connection could have taken), crossings, sockets, departed_clients, modes, demo, and the bench's unreachable port.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -10,6 +10,7 @@
 
 use clap::Args;
 use marldeal_capacity::slopes::{MeasurementSetup, Series, Slopes};
+use marldeal_standin::addresses::unused_addresses;
 use marldeal_standin::discovery::{update_line, Discovery};
 use rand::RngExt;
 use tokio::net::TcpListener;
@@ -119,9 +120,8 @@
     let duration = Duration::from_secs(options.seconds);
     let random_tenant = |rng: &mut rand::rngs::SmallRng| rng.random_range(0..100);
     let direct = open_loop(server, options.rate, duration, SEED, 1 << 60, random_tenant).await?;
-    // A port without a listener: connections to it are refused at once.
-    let unreachable =
-        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+    // Nothing listens there: connections are refused at once.
+    let unreachable = unused_addresses(1)[0];
     for servers in &options.servers {
         let size = f64::from(*servers);
         let setup = Setup {
--- a/crates/faults/src/datagrams.rs
+++ b/crates/faults/src/datagrams.rs
@@ -14,9 +14,9 @@
 use marldeal_rehearsal::draws::{self, Stream};
 use marldeal_rehearsal::network::Network;
 use marldeal_rehearsal::scenario::Scenario;
+use marldeal_standin::addresses::loopback_address;
 use tokio::net::UdpSocket;
 
-use crate::processes::loopback_address;
 use crate::tasks::spawn_local;
 
 /// Longest datagram that the platform delivers.
--- a/crates/faults/src/environment/config.rs
+++ b/crates/faults/src/environment/config.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use marldeal_rehearsal::scenario::{ClassOf, PlanOf, Repeats, Scenario};
-
-use crate::processes::loopback_address;
+use marldeal_standin::addresses::loopback_address;
 
 /// Addresses at which a limiter reaches the others and is reached.
 pub(super) struct Addresses {
--- a/crates/faults/src/environment/links.rs
+++ b/crates/faults/src/environment/links.rs
@@ -11,11 +11,11 @@
 use marldeal_rehearsal::draws;
 use marldeal_rehearsal::network::Network;
 use marldeal_rehearsal::scenario::{Scenario, Trouble, What};
+use marldeal_standin::addresses::loopback_address;
 use marldeal_standin::discovery::Discovery;
 use tokio::sync::mpsc;
 
 use super::State;
-use crate::processes::loopback_address;
 use crate::streams::{LinkFaults, StreamFault, StreamProxy};
 
 /// Identifies cuts between buildings; no fault of the timeline has this index.
--- a/crates/faults/src/environment/mod.rs
+++ b/crates/faults/src/environment/mod.rs
@@ -29,6 +29,7 @@
 use marldeal_rehearsal::scenario::{fault_name, Scenario, Trouble, What};
 use marldeal_rehearsal::server_model::ServerModel;
 use marldeal_rehearsal::world::BEGIN_MS;
+use marldeal_standin::addresses::{loopback_address, unused_addresses};
 use marldeal_standin::client::Client;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch, Notify};
@@ -36,7 +37,7 @@
 
 use crate::datagrams::DatagramProxy;
 use crate::figures::{Arrivals, Fleet, Lateness, Outcomes, Run};
-use crate::processes::{self, loopback_address, ConfigFiles, LogLine, Process, Program};
+use crate::processes::{self, ConfigFiles, LogLine, Process, Program};
 use crate::resources::ResourceNeeds;
 use crate::tasks::{self, spawn_local};
 use links::Links;
@@ -256,7 +257,7 @@
     let (servers, listeners) = servers::open(scenario, seed).await?;
     let targets: Vec<SocketAddr> = servers.iter().map(|server| server.addr).collect();
     let links = Links::open(scenario, seed, &targets).await?;
-    let limiter_addrs = processes::datagram_addresses(count)?;
+    let limiter_addrs = unused_addresses(count);
     let clock = move || BEGIN_MS + started.elapsed().as_secs_f64() * 1000.0;
     let datagrams = DatagramProxy::open(scenario, seed, limiter_addrs.clone(), clock).await?;
     let mut state = State {
--- a/crates/faults/src/processes.rs
+++ b/crates/faults/src/processes.rs
@@ -1,9 +1,8 @@
 //! Limiters as processes of their own on loopback. Dropping a process handle kills the process.
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use marldeal_standin::client::Client;
@@ -190,37 +189,6 @@
     command.spawn().map_err(|e| format!("a limiter cannot be started: {e}"))
 }
 
-/// Returns a loopback address. Each kind of socket has a network of its own, so that the local port of no
-/// connection takes the address of a listener that is opened again.
-pub fn loopback_address(kind: u8, number: usize) -> Ipv4Addr {
-    Ipv4Addr::new(127, kind, (number / 250) as u8, (number % 250 + 1) as u8)
-}
-
-/// First and number of the loopback networks for datagrams; those below are for other kinds of sockets.
-const FIRST_DATAGRAM_NETWORK: u32 = 32;
-const DATAGRAM_NETWORKS: u32 = 200;
-
-/// Returns a loopback network that no other test environment of this process uses at the same time.
-fn datagram_network() -> u8 {
-    static ENVIRONMENTS: AtomicU32 = AtomicU32::new(0);
-    let number = std::process::id().wrapping_add(ENVIRONMENTS.fetch_add(1, Ordering::Relaxed));
-    (FIRST_DATAGRAM_NETWORK + number % DATAGRAM_NETWORKS) as u8
-}
-
-/// Returns addresses for the datagrams of so many limiters. Each address has to be known before any limiter
-/// listens, so its port is free until then: the addresses are in a network of their own, where no other test environment
-/// takes it.
-///
-/// # Errors
-/// An address cannot be bound.
-pub fn datagram_addresses(limiters: usize) -> Result<Vec<SocketAddr>, String> {
-    let network = datagram_network();
-    let bound: Result<Vec<_>, _> =
-        (0..limiters).map(|n| UdpSocket::bind((loopback_address(network, n), 0))).collect();
-    let all = bound.and_then(|all| all.iter().map(UdpSocket::local_addr).collect::<Result<Vec<_>, _>>());
-    all.map_err(|e| format!("cannot bind an address for datagrams: {e}"))
-}
-
 /// Waits until a limiter is ready.
 ///
 /// # Errors
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -231,10 +231,10 @@
 }
 
 impl LimiterEntry {
-    /// Creates a limiter with two discovery agents.
-    pub fn new(agents: [SocketAddr; 2]) -> LimiterEntry {
+    /// Creates a limiter that listens at `addr`, with two discovery agents.
+    pub fn new(addr: SocketAddr, agents: [SocketAddr; 2]) -> LimiterEntry {
         LimiterEntry {
-            addr: Cell::new(SocketAddr::from(([127, 0, 0, 1], 0))),
+            addr: Cell::new(addr),
             agents,
             active_agent: Cell::new(0),
             agent_silent: Cell::new(false),
--- a/crates/soak/src/limiter.rs
+++ b/crates/soak/src/limiter.rs
@@ -1,10 +1,9 @@
 //! Limiters as processes: configuration, start, signals and log.
 
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use nix::sys::signal::{kill, Signal};
@@ -58,29 +57,6 @@
     }
 }
 
-/// First and number of the loopback networks for datagrams.
-const FIRST_DATAGRAM_NETWORK: u32 = 32;
-const DATAGRAM_NETWORKS: u32 = 200;
-
-/// Returns a loopback address that no other run of this process uses for datagrams at the same time.
-fn datagram_host() -> Ipv4Addr {
-    static RUNS: AtomicU32 = AtomicU32::new(0);
-    let number = std::process::id().wrapping_add(RUNS.fetch_add(1, Ordering::Relaxed));
-    Ipv4Addr::new(127, (FIRST_DATAGRAM_NETWORK + number % DATAGRAM_NETWORKS) as u8, 0, 1)
-}
-
-/// Returns addresses for the datagrams of all limiters. They are known before any limiter listens, so their ports are
-/// free until then: they are at a host of their own, where no other run takes them.
-///
-/// # Errors
-/// An address cannot be bound.
-pub fn peer_addresses(limiters: usize) -> Result<Vec<SocketAddr>, String> {
-    let host = datagram_host();
-    let bound: Result<Vec<_>, _> = (0..limiters).map(|_| UdpSocket::bind((host, 0))).collect();
-    let all = bound.and_then(|all| all.iter().map(UdpSocket::local_addr).collect::<Result<Vec<_>, _>>());
-    all.map_err(|e| format!("cannot bind an address for datagrams: {e}"))
-}
-
 /// Returns the configuration of a limiter, with the present server list.
 pub fn configuration(environment: &Environment, limiter: Limiter, peers: &[SocketAddr]) -> String {
     let entry = &environment.limiters[limiter];
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use marldeal_standin::addresses::unused_addresses;
 use nix::sys::signal::Signal;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -114,9 +115,9 @@
         server_listeners.push(listener);
     }
     let (mut limiters, mut agents) = (Vec::new(), Vec::new());
-    for _ in 0..plan.limiters {
+    for addr in unused_addresses(plan.limiters) {
         let (first, second) = (listen().await?, listen().await?);
-        limiters.push(LimiterEntry::new([first.1, second.1]));
+        limiters.push(LimiterEntry::new(addr, [first.1, second.1]));
         agents.push([first.0, second.0]);
     }
     let environment = Rc::new(Environment::new(plan.clone(), TERMS, servers, limiters));
@@ -134,7 +135,7 @@
         program,
         processes: RefCell::new((0..plan.limiters).map(|_| None).collect()),
         stop_counts: (0..plan.limiters).map(|_| Cell::new(0)).collect(),
-        peers: limiter::peer_addresses(plan.limiters)?,
+        peers: unused_addresses(plan.limiters),
         busy_servers: RefCell::default(),
         failure: RefCell::default(),
     });
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,8 @@
 //! counter, clients, and proxies that ask an external processor.
 //!
 //! They implement public specifications and the project's protocol, and do not depend on how marldeal decides. Faults
-//! are scripted, addresses are loopback addresses, and the kernel chooses the ports.
+//! are scripted, addresses are loopback addresses, and the kernel chooses
+//! the ports of what listens at once.
 //!
 //! ```
 //! use marldeal_standin::server::{Fault, Script, Server};
@@ -15,6 +16,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod addresses;
 pub mod client;
 pub mod counter;
 pub mod discovery;
--- a/marldeal/src/command/demo.rs
+++ b/marldeal/src/command/demo.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marldeal_standin::addresses::unused_addresses;
 use marldeal_standin::client::Client;
 use marldeal_standin::discovery::{update_line, Discovery};
 use marldeal_standin::server::{Script, Server};
@@ -109,7 +110,7 @@
         update_line(version, true, &(0..SERVERS).map(entry).collect::<Vec<_>>())
     };
     let discovery = Discovery::shared(server_list(1, None));
-    let peers = processes::datagram_addresses(LIMITERS as usize)?;
+    let peers = unused_addresses(LIMITERS as usize);
     let (program, files) = (Program::current()?, ConfigFiles::new(0)?);
     let mut limiters = Vec::new();
     for n in 0..LIMITERS as usize {
--- a/marldeal/tests/crossings.rs
+++ b/marldeal/tests/crossings.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
+use marldeal_standin::addresses::unused_addresses;
 use stubs::*;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -192,7 +193,7 @@
     let server = Stub::new(|_, stream| write_ok(stream, "fine"));
     let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
     peer.set_read_timeout(Some(TEST_TIMEOUT)).expect("time-out");
-    let own = UdpSocket::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let own = unused_addresses(1)[0];
     let at = peer.local_addr().expect("an address");
     let limiter = Limiter::with_config(&[("s-1", &server, "active")], |c| {
         c.replace(r#""Balancers":1"#, r#""Balancers":2"#)
--- a/marldeal/tests/departed_clients.rs
+++ b/marldeal/tests/departed_clients.rs
@@ -20,6 +20,7 @@
     request, text, while_stopped, with_unsafe_class, Attempts, Control, Ending, Form, Record, ENDINGS, FORMS,
     SETTLING_TIME,
 };
+use marldeal_standin::addresses::unused_addresses;
 use marldeal_standin::{message, TIMEOUT};
 use stubs::*;
 use tempfile::TempDir;
@@ -302,7 +303,7 @@
     let mut record = Record::new(Path::PeerWait);
     let server = record.attempts.server();
     let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    let own = UdpSocket::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let own = unused_addresses(1)[0];
     let at = peer.local_addr().expect("an address");
     let limiter = Limiter::with_config(&[("s-1", &server, "active")], |c| {
         with_unsafe_class(c)
--- a/marldeal/tests/modes.rs
+++ b/marldeal/tests/modes.rs
@@ -8,10 +8,10 @@
 mod stubs;
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
+use marldeal_standin::addresses::unused_addresses;
 use marldeal_standin::client::Client;
 use marldeal_standin::proxy::{Proxy, RetryMode};
 use marldeal_standin::server::{Fault, Script};
@@ -45,16 +45,6 @@
 /// Demand of the greedy customer in units per second: more than five times its ceiling.
 const GREEDY_UNITS_PER_S: f64 = 180.0;
 
-/// Addresses for datagrams between limiters, on a loopback IP address that no other test process uses: each
-/// limiter has to know all of them before any limiter has bound its own.
-fn peer_addrs(mode: Mode) -> Vec<SocketAddr> {
-    let pid = std::process::id();
-    let ip = [127, 64 + mode as u8, (pid >> 8) as u8, (pid as u8).max(1)];
-    let sockets: Vec<_> =
-        (0..LIMITERS).map(|_| UdpSocket::bind(SocketAddr::from((ip, 0))).expect("a port")).collect();
-    sockets.iter().map(|s| s.local_addr().expect("an address")).collect()
-}
-
 /// Per customer: units admitted, requests admitted, requests refused.
 type Counts = BTreeMap<u64, (f64, u32, u32)>;
 
@@ -63,7 +53,7 @@
     limiters: Vec<Limiter>,
 }
 
-fn start(mode: Mode) -> Fleet {
+fn start() -> Fleet {
     // Some requests never run and some may have run, so that the traffic includes retries.
     let faults = |n: usize| vec![(50 + n..55 + n, Fault::Unprocessed), (120..122, Fault::Error)];
     let script = |n| Script { work_ms: 15, faults: faults(n), ..Script::default() };
@@ -71,7 +61,7 @@
     let ids: Vec<String> = (0..6).map(|n| format!("s-{n}")).collect();
     let entries: Vec<_> =
         ids.iter().zip(&stubs).map(|(id, server)| (id.as_str(), server, "active")).collect();
-    let peer_addrs = peer_addrs(mode);
+    let peer_addrs = unused_addresses(LIMITERS as usize);
     let peers: Vec<String> = peer_addrs.iter().map(|a| format!("\"{a}\"")).collect();
     let limiter = |position: usize| {
         let alter = |config: String| {
@@ -133,7 +123,7 @@
     let (customers, kinds) = sample_traffic(GREEDY_UNITS_PER_S);
     let calls = generate(SEED, &customers, &kinds, LIMITERS, SECONDS);
     assert!(calls.len() >= 3000, "{}", calls.len());
-    let fleets = [Mode::Direct, Mode::External, Mode::Mixed].map(|mode| (mode, start(mode)));
+    let fleets = [Mode::Direct, Mode::External, Mode::Mixed].map(|mode| (mode, start()));
     let [direct, external, mixed] = &fleets;
     let (a, b, c) = tokio::join!(
         replay(direct.0, &direct.1, &calls),
--- a/marldeal/tests/sockets.rs
+++ b/marldeal/tests/sockets.rs
@@ -6,6 +6,7 @@
 use std::net::{TcpStream, UdpSocket};
 use std::time::{Duration, Instant};
 
+use marldeal_standin::addresses::unused_addresses;
 use stubs::*;
 
 #[test]
@@ -132,14 +133,13 @@
 #[test]
 fn killed_limiter_restarts_with_its_address() {
     let server = Stub::new(|_, stream| write_ok(stream, "fine"));
-    let first = Limiter::start(&[("s-1", &server, "active")]);
-    let addr = first.addr;
+    let addr = unused_addresses(1)[0];
+    let listening = |c: String| c.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{addr}""#));
+    let first = Limiter::with_config(&[("s-1", &server, "active")], listening);
     let mut kept = TcpStream::connect(addr).expect("connect");
     assert_eq!(exchange(&mut kept, &get("look", "")).status, 200);
     drop(first);
-    let again = Limiter::with_config(&[("s-1", &server, "active")], |c| {
-        c.replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{addr}""#))
-    });
+    let again = Limiter::with_config(&[("s-1", &server, "active")], listening);
     assert_eq!(again.addr, addr);
     assert_eq!(send_request(&again, &get("look", "")).status, 200);
 }
@@ -525,7 +525,7 @@
     let server = Stub::new(|_, stream| write_ok(stream, "fine"));
     let peer = UdpSocket::bind("127.0.0.1:0").expect("bind");
     peer.set_read_timeout(Some(Duration::from_secs(10))).expect("time-out");
-    let own = UdpSocket::bind("127.0.0.1:0").expect("bind").local_addr().expect("address");
+    let own = unused_addresses(1)[0];
     let peers = format!(
         r#""sockets":1024}},"peer_listen":"{own}","peers":["{own}","{}"],"limits2":{{"x":1"#,
         peer.local_addr().expect("address")
