Uploads take their units of a ceiling when they come whole to a server

Cause: a quota owner counts granted units against the ceiling's depth for 0.5 s, which covers the wait for a server but not the upload. PROTOCOL: a try takes its units when its first attempt has come whole to a server.

Change: the end of a streamed body is held back until the decision module allows it (Event::BodyReceived, Action::CompleteBody, src/uploads.rs). If the grant has expired, the units of the quota are returned and both are asked for again under an id of their own. Without a grant the request is refused and its attempt cancelled: no server has it whole. Related paths: own shares and prefetched units, clients that leave while the end is held back, requests that have ended, customers whose record was evicted.

Price: an upload that outlives its first grant takes the ceiling's units twice; it may be refused after its body was sent.

Request ids end at 2^30 instead of 2^31; asks at the end of a body use the ids above.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -107,6 +107,14 @@
         /// The request.
         id: RequestId,
     },
+    /// All of a body that is streamed has been received, and all but its end passed on. The end is passed on with
+    /// [`Output::CompleteBody`].
+    BodyReceived {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// The last byte of an attempt was written to its server.
     Written {
         /// The request.
@@ -204,6 +212,13 @@
         /// The outcome to report, unless the attempt ended otherwise before.
         outcome: Outcome,
     },
+    /// Pass on the end of a streamed body.
+    CompleteBody {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Give the final answer to a request.
     Answer {
         /// The request.
@@ -237,8 +252,8 @@
 }
 
 /// Largest request id; ids start again at 0 after it. The decision module uses the ids above it
-/// ([`fawnhill::Limiter::enable_prefetch`]).
-const MAX_REQUEST_ID: RequestId = (1 << 31) - 1;
+/// for asks of its own.
+const MAX_REQUEST_ID: RequestId = fawnhill::COMPLETION_BIT - 1;
 
 /// A request without a final answer.
 struct OpenRequest {
@@ -369,6 +384,7 @@
                 self.attempt_ended(now, id, attempt, outcome, units, load, out);
             }
             Input::Uploading { id } => self.renew_upload(now, id),
+            Input::BodyReceived { id, attempt } => self.body_received(id, attempt, out),
             Input::Written { id, attempt } => self.attempt_written(now, id, attempt),
             Input::Streaming { id, attempt } => self.response_streaming(now, id, attempt),
             Input::ClientDisconnected { id } => {
@@ -468,7 +484,7 @@
     pub fn restore(&mut self, now: Millis, assessment: Assessment) {
         match assessment {
             Assessment::SameLimiter { state, next_request } => {
-                self.next_id = self.next_id.max(next_request);
+                self.next_id = self.next_id.max(next_request) & MAX_REQUEST_ID;
                 self.limiter.import_state(now, &state, true);
             }
             Assessment::Hints { state } => self.limiter.import_state(now, &state, false),
@@ -564,6 +580,16 @@
         self.events.push_back(Event::Streaming { id });
     }
 
+    /// Asks the decision module whether a body may be completed. Without a request that waits for the answer, the
+    /// attempt is cancelled: no server can have begun it.
+    fn body_received(&mut self, id: RequestId, attempt: u32, out: &mut Vec<Output>) {
+        if self.requests.contains_key(&id) {
+            self.events.push_back(Event::BodyReceived { id });
+        } else {
+            self.stop(id, attempt, Outcome::Cancelled, out);
+        }
+    }
+
     fn attempt_written(&mut self, now: Millis, id: RequestId, attempt: u32) {
         self.counters.record_forwarded();
         let Some(open) = self.requests.get_mut(&id) else { return };
@@ -676,6 +702,7 @@
     fn perform(&mut self, now: Millis, action: Action, out: &mut Vec<Output>) {
         match action {
             Action::Send { id, server, cap_ms } => self.send(now, id, server, cap_ms, out),
+            Action::CompleteBody { id, attempt } => out.push(Output::CompleteBody { id, attempt }),
             Action::Cancel { id, attempt } => self.stop(id, attempt, Outcome::Cancelled, out),
             Action::Refuse { id, .. } | Action::Fail { id } if self.sends_late(now, id) => {
                 self.send_late(now, id, out)
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -351,6 +351,22 @@
     }
 }
 
+/// Guards against an attempt that waits for ever for the end of its body: the end is asked for while the request is open,
+/// and after that the attempt is cancelled.
+#[test]
+fn end_of_a_body_is_passed_on_for_an_open_request_only() {
+    let (mut engine, mut out) = engine();
+    let id = upload(&mut engine, &mut out, 10.0, 2010.0);
+    let received = Input::BodyReceived { id, attempt: 0 };
+    out.clear();
+    engine.handle(2020.0, received.clone(), &mut out);
+    assert_eq!(out, [Output::CompleteBody { id, attempt: 0 }]);
+    engine.handle(2030.0, Input::ClientDisconnected { id }, &mut out);
+    out.clear();
+    engine.handle(2040.0, received, &mut out);
+    assert_eq!(out, [Output::Stop { id, attempt: 0, outcome: Outcome::Cancelled }]);
+}
+
 /// Guards against requests that are open when the process is killed: from the notice on, a request has until then at
 /// most, whether it was received whole or its body still arrives. Earlier requests keep their time.
 #[test]
--- a/crates/rehearsal/src/world/limiters.rs
+++ b/crates/rehearsal/src/world/limiters.rs
@@ -51,6 +51,7 @@
                 Output::RefreshWatch
                 | Output::FetchServerList
                 | Output::SendHandoverMessage { .. }
+                | Output::CompleteBody { .. }
                 | Output::Log(_) => {}
             }
         }
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -30,7 +30,7 @@
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tracing::{debug, info};
 
-use crate::payload::{Chunk, Payload};
+use crate::payload::{Chunk, Payload, StreamedBody};
 use crate::reload::ReloadTrigger;
 use crate::settings::config::Config;
 use crate::settings::server_list::{self, DiscoverySource, ServerUpdate, MAX_SERVERS};
@@ -126,6 +126,8 @@
     cancel: oneshot::Sender<Outcome>,
     /// When it is abandoned; infinite where the body is streamed.
     deadline: f64,
+    /// The body, if it is streamed.
+    upload: Option<Rc<StreamedBody>>,
 }
 
 struct State {
@@ -594,6 +596,13 @@
         }
     }
 
+    /// Handles that all of a streamed body has been received, and all but its end passed on.
+    pub fn body_received(self: &Rc<Self>, id: RequestId, attempt: u32) {
+        let mut state = self.state.borrow_mut();
+        self.handle_input(&mut state, Input::BodyReceived { id, attempt });
+        self.execute_outputs(&mut state, None);
+    }
+
     /// Handles that the last byte of an attempt has been written.
     pub fn attempt_written(self: &Rc<Self>, id: RequestId, attempt: u32) {
         let mut state = self.state.borrow_mut();
@@ -693,11 +702,11 @@
                     let job = AttemptJob { id, attempt, server, content: direct.content.clone(), deadline };
                     let (cancel, cancelled) = oneshot::channel();
                     // The deadline of an upload moves on for as long as the client sends.
-                    let deadline = match job.content.body {
-                        Payload::Buffered { .. } => deadline,
-                        Payload::Streamed(_) => f64::INFINITY,
+                    let (deadline, upload) = match &job.content.body {
+                        Payload::Buffered { .. } => (deadline, None),
+                        Payload::Streamed(body) => (f64::INFINITY, Some(body.clone())),
                     };
-                    state.outstanding.insert((id, attempt), OutstandingAttempt { cancel, deadline });
+                    state.outstanding.insert((id, attempt), OutstandingAttempt { cancel, deadline, upload });
                     self.upstream.start(self.clone(), job, cancelled);
                 }
                 Output::Stop { id, attempt, outcome } => {
@@ -705,6 +714,12 @@
                         let _ = out.cancel.send(outcome);
                     }
                 }
+                Output::CompleteBody { id, attempt } => {
+                    let started = state.outstanding.get(&(id, attempt));
+                    if let Some(upload) = started.and_then(|attempt| attempt.upload.as_ref()) {
+                        upload.allow_end();
+                    }
+                }
                 // A client that has disconnected meanwhile gets no answer.
                 Output::Answer { id, answer } => {
                     debug!(event = "answered", request = id, ?answer, "request {id}: {answer:?}");
--- a/marldeal/src/payload/mod.rs
+++ b/marldeal/src/payload/mod.rs
@@ -115,21 +115,51 @@
 pub enum OutgoingBody {
     /// The blocks of a buffered body, and the number of bytes not taken yet.
     Buffered(std::vec::IntoIter<Bytes>, u64),
-    /// A streamed body, and a timer that expires when its client is too slow.
-    Streamed(Rc<StreamedBody>, Pin<Box<Sleep>>),
+    /// A streamed body.
+    Streamed(Upload),
+}
+
+/// A streamed body on its way to a server.
+pub struct Upload {
+    body: Rc<StreamedBody>,
+    /// Expires when the client is too slow.
+    timer: Pin<Box<Sleep>>,
+    /// Called when all of the body has been received, and all but its end passed on.
+    on_received: Box<dyn Fn()>,
+}
+
+impl Upload {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let mut chunk = self.body.poll_chunk(cx);
+        if self.body.end_is_withheld() {
+            (self.on_received)();
+            chunk = self.body.poll_chunk(cx);
+        }
+        match chunk {
+            Poll::Ready(chunk) => {
+                self.timer.as_mut().reset(self.body.receive_deadline());
+                Poll::Ready(chunk.map(|frame| frame.map(Frame::data)))
+            }
+            // The client has sent everything.
+            Poll::Pending if self.body.end_is_withheld() => Poll::Pending,
+            Poll::Pending => self.timer.as_mut().poll(cx).map(|()| Some(Err(io::ErrorKind::TimedOut.into()))),
+        }
+    }
 }
 
 impl OutgoingBody {
-    /// The body to send for a payload.
-    pub fn new(payload: &Payload) -> OutgoingBody {
+    /// The body to send for a payload. `on_received` is called when all of a streamed body has been received, and all
+    /// but its end passed on; the end waits for [`StreamedBody::allow_end`].
+    pub fn new(payload: &Payload, on_received: impl Fn() + 'static) -> OutgoingBody {
         match payload {
             Payload::Buffered { blocks, length, .. } => {
                 OutgoingBody::Buffered(blocks.clone().into_iter(), *length as u64)
             }
-            Payload::Streamed(body) => OutgoingBody::Streamed(
-                body.clone(),
-                Box::pin(tokio::time::sleep_until(body.receive_deadline())),
-            ),
+            Payload::Streamed(body) => OutgoingBody::Streamed(Upload {
+                body: body.clone(),
+                timer: Box::pin(tokio::time::sleep_until(body.receive_deadline())),
+                on_received: Box::new(on_received),
+            }),
         }
     }
 }
@@ -145,20 +175,14 @@
                 *remaining -= block.as_ref().map_or(0, |b| b.len() as u64);
                 Poll::Ready(block.map(|b| Ok(Frame::data(b))))
             }
-            OutgoingBody::Streamed(body, timer) => match body.poll_chunk(cx) {
-                Poll::Ready(chunk) => {
-                    timer.as_mut().reset(body.receive_deadline());
-                    Poll::Ready(chunk.map(|frame| frame.map(Frame::data)))
-                }
-                Poll::Pending => timer.as_mut().poll(cx).map(|()| Some(Err(io::ErrorKind::TimedOut.into()))),
-            },
+            OutgoingBody::Streamed(upload) => upload.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             OutgoingBody::Buffered(_, remaining) => *remaining == 0,
-            OutgoingBody::Streamed(body, _) => body.is_exhausted(),
+            OutgoingBody::Streamed(upload) => upload.body.is_exhausted(),
         }
     }
 
@@ -166,7 +190,7 @@
         let remaining = match self {
             OutgoingBody::Buffered(_, remaining) => Some(*remaining),
             // The connection asks before it has taken any of the body.
-            OutgoingBody::Streamed(body, _) => body.declared_length(),
+            OutgoingBody::Streamed(upload) => upload.body.declared_length(),
         };
         remaining.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
--- a/marldeal/src/payload/streamed_body.rs
+++ b/marldeal/src/payload/streamed_body.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -34,6 +34,19 @@
     awaits_client: Cell<bool>,
     /// When a chunk was last passed on.
     passed_on_at: Cell<Instant>,
+    /// The end of the body, received and not allowed yet.
+    withheld: RefCell<Option<WithheldEnd>>,
+    /// The end of the body may be passed on.
+    end_allowed: Cell<bool>,
+}
+
+/// The end of a body: without it no server has received the body whole.
+#[derive(Debug)]
+struct WithheldEnd {
+    /// The last chunk, or nothing at the end of a body without a declared length.
+    chunk: Option<Bytes>,
+    /// Of the task that passes the body on.
+    waker: Waker,
 }
 
 impl StreamedBody {
@@ -58,6 +71,8 @@
             ended,
             awaits_client: Cell::new(false),
             passed_on_at: Cell::new(Instant::now()),
+            withheld: RefCell::default(),
+            end_allowed: Cell::new(false),
         }
     }
 
@@ -68,7 +83,20 @@
 
     /// Whether all of the body has been received and passed on.
     pub fn is_exhausted(&self) -> bool {
-        self.ended.get() && self.prefix.borrow().0.is_empty()
+        self.ended.get() && self.prefix.borrow().0.is_empty() && !self.end_is_withheld()
+    }
+
+    /// Whether all of the body has been received, and its end waits for [`StreamedBody::allow_end`].
+    pub(super) fn end_is_withheld(&self) -> bool {
+        self.withheld.borrow().is_some()
+    }
+
+    /// Lets the end of the body be passed on.
+    pub fn allow_end(&self) {
+        self.end_allowed.set(true);
+        if let Some(end) = &*self.withheld.borrow() {
+            end.waker.wake_by_ref();
+        }
     }
 
     /// Whether the client is known to have more of the body to send, while the server takes what arrives. `unread` is
@@ -94,9 +122,13 @@
         self.started + Duration::from_secs_f64(MIN_UPLOAD_RATE.deadline_ms(self.received.get()) / 1000.0)
     }
 
-    /// Returns the next chunk, or nothing at the end of the body.
+    /// Returns the next chunk, or nothing at the end of the body. The last of them is withheld until it is allowed.
     pub(super) fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        let chunk = self.poll_next(cx);
+        let received = match self.withheld.take() {
+            Some(end) => Poll::Ready(end.chunk.map(Ok)),
+            None => self.poll_next(cx),
+        };
+        let chunk = self.withhold_end(received, cx);
         self.awaits_client.set(chunk.is_pending());
         if chunk.is_ready() {
             self.passed_on_at.set(Instant::now());
@@ -104,6 +136,24 @@
         chunk
     }
 
+    fn withhold_end(
+        &self,
+        received: Poll<Option<io::Result<Bytes>>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Bytes>>> {
+        let chunk = match received {
+            Poll::Ready(None) => None,
+            Poll::Ready(Some(Ok(chunk))) if self.is_exhausted() => Some(chunk),
+            other => return other,
+        };
+        if self.end_allowed.get() {
+            return Poll::Ready(chunk.map(Ok));
+        }
+        let waker = cx.waker().clone();
+        self.withheld.replace(Some(WithheldEnd { chunk, waker }));
+        Poll::Pending
+    }
+
     fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         let mut prefix = self.prefix.borrow_mut();
         if let Some(chunk) = prefix.0.pop_front() {
@@ -138,7 +188,7 @@
     /// Returns false if the rest is not received in time.
     pub async fn discard_rest(&self) -> bool {
         while !self.ended.get() {
-            let chunk = std::future::poll_fn(|cx| self.poll_chunk(cx));
+            let chunk = std::future::poll_fn(|cx| self.poll_next(cx));
             match tokio::time::timeout_at(self.receive_deadline(), chunk).await {
                 Ok(Some(Ok(_))) => {}
                 Ok(None) => return true,
--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -44,12 +44,19 @@
 /// behind a response has arrived by then and shows that the connection is unusable.
 const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(10);
 
-type WrittenCallback = Box<dyn Fn(RequestId, u32)>;
+type AttemptCallback = Box<dyn Fn(RequestId, u32)>;
+
+/// What is called as the request on a connection makes progress, with its id and the number of its attempt.
+struct ProgressCallbacks {
+    /// All of a streamed body has been received, and all but its end passed on.
+    body_received: AttemptCallback,
+    /// The last byte of the request has been written.
+    written: AttemptCallback,
+}
 
 /// Tracks how far the request on a connection has been written.
 struct WriteTracker {
-    /// Called when the last byte of a request has been written.
-    notify_written: WrittenCallback,
+    callbacks: ProgressCallbacks,
     /// The request and attempt that are being written. Empty once they have been written in full.
     current: Cell<Option<(RequestId, u32)>>,
     /// The connection has taken the last byte of the request.
@@ -64,6 +71,12 @@
         self.body_consumed.set(false);
         self.bytes_written.set(false);
     }
+
+    fn body_received(&self) {
+        if let Some((id, attempt)) = self.current.get() {
+            (self.callbacks.body_received)(id, attempt);
+        }
+    }
 }
 
 impl Progress for WriteTracker {
@@ -81,7 +94,7 @@
     fn on_flushed(&mut self) {
         if self.body_consumed.get() && self.bytes_written.get() {
             if let Some((id, attempt)) = self.current.take() {
-                (self.notify_written)(id, attempt);
+                (self.callbacks.written)(id, attempt);
             }
         }
     }
@@ -394,18 +407,22 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
     };
-    let driver = driver.clone();
-    handshake(stream, Box::new(move |id, attempt| driver.attempt_written(id, attempt)), slot).await
+    let (receiving, writing) = (driver.clone(), driver.clone());
+    let callbacks = ProgressCallbacks {
+        body_received: Box::new(move |id, attempt| receiving.body_received(id, attempt)),
+        written: Box::new(move |id, attempt| writing.attempt_written(id, attempt)),
+    };
+    handshake(stream, callbacks, slot).await
 }
 
 async fn handshake(
     stream: TcpStream,
-    notify_written: WrittenCallback,
+    callbacks: ProgressCallbacks,
     slot: OpenSlot,
 ) -> Result<ServerConnection, Outcome> {
     let _ = stream.set_nodelay(true);
     let tracker = Rc::new(WriteTracker {
-        notify_written,
+        callbacks,
         current: Cell::new(None),
         body_consumed: Cell::new(false),
         bytes_written: Cell::new(false),
@@ -437,7 +454,9 @@
     if let Some(key) = &content.idempotency_key {
         request = request.header(IDEMPOTENCY_KEY, key.clone());
     }
-    request.body(TrackedBody::new(OutgoingBody::new(&content.body), tracker.clone()))
+    let receiving = tracker.clone();
+    let body = OutgoingBody::new(&content.body, move || receiving.body_received());
+    request.body(TrackedBody::new(body, tracker.clone()))
 }
 
 #[cfg(test)]
@@ -462,10 +481,12 @@
                     let slot = pool.reserve(9).expect("slot");
                     let stream = TcpStream::connect(addr).await.expect("connect");
                     server_sides.push(listener.accept().expect("accept").0);
-                    let connection = handshake(stream, Box::new(|_, _| {}), slot)
-                        .await
-                        .map_err(drop)
-                        .expect("a connection");
+                    let callbacks = ProgressCallbacks {
+                        body_received: Box::new(|_, _| {}),
+                        written: Box::new(|_, _| {}),
+                    };
+                    let connection =
+                        handshake(stream, callbacks, slot).await.map_err(drop).expect("a connection");
                     pool.return_idle(&server, connection);
                 }
                 std::thread::sleep(MIN_IDLE_BEFORE_REUSE * 2);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -235,6 +235,12 @@
         /// Id of the request.
         id: RequestId,
     },
+    /// All of a streamed body has been received, and all but its end passed on. The end is passed on with
+    /// [`Action::CompleteBody`].
+    BodyReceived {
+        /// Id of the request.
+        id: RequestId,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// Id of the request.
@@ -313,6 +319,13 @@
         /// Number of the attempt.
         attempt: u32,
     },
+    /// Pass on the end of a streamed body.
+    CompleteBody {
+        /// Id of the request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Final answer: not served; a retry is harmless.
     Refuse {
         /// Id of the request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,10 +54,12 @@
 mod servers;
 mod slow_start;
 mod state;
+mod uploads;
 mod validation;
 
 pub use interface::*;
 pub use message::{line_kinds, LineKind};
 pub use policy::Limiter;
 pub use prefetch::PrefetchCounts;
+pub use uploads::COMPLETION_BIT;
 pub use validation::validation_errors;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -156,6 +156,7 @@
             Event::ListFailed => out.push(Action::Subscribe(true)),
             Event::Request(request) => self.on_request(request, out),
             Event::Streaming { id } => self.on_streaming(id),
+            Event::BodyReceived { id } => self.on_body_received(id, out),
             Event::AttemptEnded { id, attempt, outcome, took_ms, settled, units, .. } => {
                 if self.attempts.contains_key(&(id, attempt)) || settled {
                     self.requests.entry(id).and_modify(|r| r.actual_units = units);
@@ -207,7 +208,7 @@
     }
 
     /// Sends a request if its slots fit and a server accepts it, and holds it otherwise.
-    fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(crate) fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.attempt_demand.add(self.now, 1.0);
         if !self.try_send(id, out) {
             if self.held.len() > 2 * self.requests.len() + HELD_CLEANUP_SLACK {
@@ -333,8 +334,9 @@
     /// Gives the final answer: a refusal if no attempt can have run, otherwise a failure that promises nothing.
     fn give_final_answer(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.cancel_request(id, true, out) else { return };
+        let incomplete = request.completion == Completion::Asked;
         let safe = self.settings.classes[request.request.class].effect == Effect::Safe;
-        if safe || (request.may_have_run.is_none() && !request.outstanding) {
+        if safe || incomplete || (request.may_have_run.is_none() && !request.outstanding) {
             out.push(Action::Refuse { id, retry_ms: self.retry_after_ms(&request.request) });
         } else {
             out.push(Action::Fail { id });
@@ -342,13 +344,16 @@
     }
 
     /// Closes a request and cancels its outstanding attempt. If the client disconnected, the server is not
-    /// blamed, and an attempt with an effect runs to its end.
+    /// blamed, and an attempt with an effect runs to its end. An attempt whose body is held back has no effect, and its
+    /// server is not blamed.
     fn cancel_request(&mut self, id: RequestId, late: bool, out: &mut Vec<Action>) -> Option<OpenRequest> {
         let request = self.close(id, out)?;
         let class = &self.settings.classes[request.request.class];
-        if request.outstanding && self.settings.may_cancel && (late || class.effect == Effect::Safe) {
+        let incomplete = request.completion == Completion::Asked;
+        let may_cancel = self.settings.may_cancel && (late || class.effect == Effect::Safe);
+        if request.outstanding && (incomplete || may_cancel) {
             let attempt = request.attempts - 1;
-            self.attempts.entry((id, attempt)).and_modify(|a| a.cancelled |= late);
+            self.attempts.entry((id, attempt)).and_modify(|a| a.cancelled |= late && !incomplete);
             out.push(Action::Cancel { id, attempt });
         }
         Some(request)
@@ -369,17 +374,23 @@
         let Some(owner) = open.owner else { return Some(open) };
         let units = open.request.units;
         let used = if open.attempts == 0 { 0.0 } else { open.actual_units.unwrap_or(units) };
-        let done = Done { id, used: used as f32 };
-        if self.holds_accounts_of(owner) {
-            // Nobody asks about this grant again, so its record is removed at once, whatever the request rate.
-            self.on_done((owner, self.incarnation, id), done.used);
-            self.grants.remove(&(owner, self.incarnation, id));
-        } else if used != units || self.settings.plans[open.request.plan].open > 0 {
-            self.send_line(owner, Line::Done(done), true, out);
+        if self.holds_accounts_of(owner) || used != units || self.settings.plans[open.request.plan].open > 0 {
+            self.report_use(owner, open.grant_id, used, out);
         }
         Some(open)
     }
 
+    /// Reports to a quota owner how many units of a grant were used; nothing more will be.
+    pub(crate) fn report_use(&mut self, owner: u32, grant_id: RequestId, used: f64, out: &mut Vec<Action>) {
+        let done = Done { id: grant_id, used: used as f32 };
+        if !self.holds_accounts_of(owner) {
+            return self.send_line(owner, Line::Done(done), true, out);
+        }
+        // Nobody asks about this grant again, so its record is removed at once, whatever the request rate.
+        self.on_done((owner, self.incarnation, grant_id), done.used);
+        self.grants.remove(&(owner, self.incarnation, grant_id));
+    }
+
     /// Sends held requests, the oldest first, and ends those that were held for too long.
     fn send_held(&mut self, out: &mut Vec<Action>) {
         for _ in 0..self.held.len() {
@@ -410,6 +421,9 @@
             return self.flush_messages(out);
         }
         let id = (wake >> 3) as RequestId;
+        if wake & 7 == WAKE_REPLY {
+            return self.check_reply(id, out);
+        }
         let Some(request) = self.requests.get(&id).filter(|r| !r.streaming) else { return };
         match wake & 7 {
             WAKE_DEADLINE if self.now >= request.deadline => self.give_final_answer(id, out),
@@ -419,7 +433,6 @@
                 self.give_final_answer(id, out)
             }
             WAKE_SILENCE_CHECK => self.check_silence(id, out),
-            WAKE_REPLY => self.check_reply(id, out),
             _ => {}
         }
     }
@@ -622,7 +635,7 @@
     }
 
     /// Asks the first quota owner that is not silent; without one the equal share decides.
-    fn ask_owner(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(crate) fn ask_owner(&mut self, id: RequestId, out: &mut Vec<Action>) {
         loop {
             let Some(open) = self.requests.get(&id) else { return };
             let request = &open.request;
@@ -633,11 +646,11 @@
             };
             let set = (request.first, request.spread);
             let Some(owner) = quota_owner(request.customer, set, self.settings.limiters, open.rank)
-                .filter(|_| self.now - open.arrived < ASK_TIME_FRACTION * target_ms)
+                .filter(|_| self.now - open.asked_from < ASK_TIME_FRACTION * target_ms)
             else {
                 return self.spend_equal_share(id, out);
             };
-            let ask = self.ask_for(request);
+            let ask = Ask { id: open.grant_id, ..self.ask_for(request) };
             let seen_before = self.customers.get(&request.customer).is_some_and(|c| c.seen_before);
             if self.holds_accounts_of(owner) {
                 // A later owner's part of a ceiling is small, and this limiter has its share as a member too.
@@ -691,8 +704,9 @@
         self.on_prefetch_reply(from, reply);
         let own = from == self.settings.position;
         let waits =
-            |r: &&mut OpenRequest| r.attempts == 0 && r.owner.is_none() && (own || r.pending_ask.is_some());
-        let Some(open) = self.requests.get_mut(&reply.id).filter(waits) else { return };
+            |r: &&mut OpenRequest| r.awaits_units() && r.owner.is_none() && (own || r.pending_ask.is_some());
+        let Some(id) = self.request_of_ask(reply.id) else { return };
+        let Some(open) = self.requests.get_mut(&id).filter(waits) else { return };
         if let Some((_, at)) = open.pending_ask.take().filter(|a| a.0 == from) {
             // The wait counts from the first ask (RFC 6298, section 3): a reply just after a repeat answers the
             // first ask, and an underestimated wait would cause repeats before any reply can arrive.
@@ -703,10 +717,10 @@
         }
         open.admitted_at = self.now;
         open.owner = reply.granted.then_some(from);
-        if !reply.granted || self.lease_expired(&self.requests[&reply.id]) {
-            self.give_final_answer(reply.id, out);
+        if !reply.granted || self.lease_expired(&self.requests[&id]) {
+            self.give_final_answer(id, out);
         } else {
-            self.dispatch(reply.id, out);
+            self.proceed(id, out);
         }
     }
 
@@ -723,7 +737,10 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (request, units) = (&open.request, open.request.units);
         let plan = &self.settings.plans[request.plan];
-        let Some(c) = self.customers.get_mut(&request.customer) else { return };
+        // The record of a customer without recent requests may have been evicted during an upload.
+        let Some(c) = self.customers.get_mut(&request.customer) else {
+            return self.give_final_answer(id, out);
+        };
         let has_ceiling = plan.ceiling_rate > 0.0;
         let (mut rate, mut capacity) = equal_share(plan, request.spread);
         if rate <= 0.0 {
@@ -738,7 +755,7 @@
             return self.give_final_answer(id, out);
         }
         open.admitted_at = self.now;
-        self.dispatch(id, out);
+        self.proceed(id, out);
     }
 
     /// Whether this process decides for a quota owner: it is the owner and has not handed its accounts over.
@@ -749,7 +766,7 @@
     /// Whether units granted under a ceiling were not spent in time; the quota owner no longer counts them.
     fn lease_expired(&self, open: &OpenRequest) -> bool {
         let has_ceiling = self.settings.plans[open.request.plan].ceiling_rate > 0.0;
-        open.attempts == 0 && has_ceiling && self.now - open.leased_from > GRANT_LIFETIME_MS
+        open.awaits_units() && has_ceiling && self.now - open.leased_from > GRANT_LIFETIME_MS
     }
 
     // ---- Quotas and ceilings: the quota owner ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -349,6 +349,17 @@
     pub answers: DecayingSum,
 }
 
+/// Whether the end of a streamed body may be passed on to the server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completion {
+    /// Nobody has asked.
+    Undecided,
+    /// A quota owner is asked for units.
+    Asked,
+    /// It may.
+    Allowed,
+}
+
 /// A client request without a final answer.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -357,10 +368,16 @@
     /// Rank of the quota owner that is asked, and number of asks to it.
     pub rank: u32,
     pub asks: u32,
+    /// Start of the time in which quota owners are asked: the arrival of the request, or of the end of its body.
+    pub asked_from: Millis,
+    /// The id under which the quota owner that is asked knows the request.
+    pub grant_id: RequestId,
+    /// Whether the end of its body may be passed on, if that is streamed.
+    pub completion: Completion,
     /// The quota owner whose reply is awaited, and since when.
     pub pending_ask: Option<(u32, Millis)>,
-    /// Start of the lease of units under a ceiling: the arrival of the request, or the time of the prefetch
-    /// ask.
+    /// Start of the lease of units under a ceiling: the arrival of the request or of the end of its body, or the time
+    /// of the prefetch ask.
     pub leased_from: Millis,
     /// The units were prefetched.
     pub prefetched: bool,
@@ -381,10 +398,18 @@
 }
 
 impl OpenRequest {
+    /// Whether units that are granted now let the request go on.
+    pub(crate) fn awaits_units(&self) -> bool {
+        self.attempts == 0 || self.completion == Completion::Asked
+    }
+
     pub fn new(request: Request, now: Millis, deadline: Millis) -> Self {
         OpenRequest {
+            grant_id: request.id,
             request,
             arrived: now,
+            asked_from: now,
+            completion: Completion::Undecided,
             leased_from: now,
             prefetched: false,
             rank: 0,
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -562,6 +562,10 @@
             let line = "a message to another process of this limiter was dropped".to_string();
             OutputAction::Remark { limiter_id, line }
         }
+        // Requests of the simulator have no bodies.
+        A::CompleteBody { .. } => {
+            OutputAction::Remark { limiter_id, line: "the end of a body was dropped".to_string() }
+        }
         A::Count { name, add, life_ms } => {
             OutputAction::AddAndGet { limiter_id, entry_name: name, add, lifetime_ms: life_ms }
         }
