Connections to servers rest 40 ms before reuse, against late second answers

What callers saw: another client's answer.

Cause: nothing but the connection ties an answer to its request, and a connection was used again after 10 ms of quiet, the most recently used one first.

Change: 40 ms. While half of the connections are open, 10 ms have to do, until a connection is found with bytes that no request asked for; then it is 40 ms for ten minutes at every server.

--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -40,9 +40,15 @@
 /// off can be retried.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(500);
 
-/// A connection is reused only after it has been idle for this long. Anything that the server writes right
-/// behind a response has arrived by then and shows that the connection is unusable.
+/// A connection is reused only after it has been idle for this long. Anything that the server writes behind a response,
+/// such as a second response, has arrived by then and shows that the connection is unusable.
+const IDLE_BEFORE_REUSE: Duration = Duration::from_millis(40);
+/// The same while connections are scarce and no server is known to write without a request.
 const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(10);
+/// Connections are scarce from this fraction of the bound on open ones.
+const SCARCE_FRACTION: f64 = 0.5;
+/// How long servers are known to write without a request after one of them did. Servers run the same program.
+const UNREQUESTED_BYTES_MEMORY: Duration = Duration::from_secs(600);
 
 type AttemptCallback = Box<dyn Fn(RequestId, u32)>;
 
@@ -134,13 +140,15 @@
     idle_timeout: Duration,
     /// The number of open connections, idle or not.
     open: Rc<Cell<usize>>,
+    /// When an idle connection was last found with bytes that no request had asked for.
+    unrequested_bytes_at: Option<Instant>,
 }
 
 impl ConnectionPool {
     /// Connections are closed after they have been idle for `idle_ms`.
     fn new(idle_ms: f64) -> ConnectionPool {
         let idle_timeout = Duration::from_secs_f64(idle_ms / 1000.0);
-        ConnectionPool { idle: HashMap::new(), idle_timeout, open: Rc::default() }
+        ConnectionPool { idle: HashMap::new(), idle_timeout, open: Rc::default(), unrequested_bytes_at: None }
     }
 
     /// Closes the idle connections to a server.
@@ -157,19 +165,36 @@
         });
     }
 
+    /// How long a connection has to have been idle before it is reused, with at most `max_open` open ones.
+    fn idle_before_reuse(&self, max_open: usize) -> Duration {
+        let scarce = self.open.get() as f64 >= SCARCE_FRACTION * max_open as f64;
+        let unrequested = self.unrequested_bytes_at.is_some_and(|at| at.elapsed() < UNREQUESTED_BYTES_MEMORY);
+        if scarce && !unrequested {
+            MIN_IDLE_BEFORE_REUSE
+        } else {
+            IDLE_BEFORE_REUSE
+        }
+    }
+
     /// Returns the most recently used connection that is still usable. A connection that the server has closed,
     /// or has written to without a request, is closed here: a request written to it would end in a reset, or
     /// would be given those bytes as its response. The event loop may not have seen the event yet, so the
     /// kernel is asked as well.
-    fn checkout(&mut self, server: &ServerId) -> Option<ServerConnection> {
-        let connections = self.idle.get_mut(server)?;
-        while let Some(at) = connections.iter().rposition(|l| l.since.elapsed() >= MIN_IDLE_BEFORE_REUSE) {
+    fn checkout(&mut self, server: &ServerId, max_open: usize) -> Option<ServerConnection> {
+        loop {
+            let idle_before_reuse = self.idle_before_reuse(max_open);
+            let connections = self.idle.get_mut(server)?;
+            let at = connections.iter().rposition(|l| l.since.elapsed() >= idle_before_reuse)?;
             let IdleConnection { mut connection, since } = connections.remove(at);
-            if since.elapsed() < self.idle_timeout && connection.is_alive() && connection.is_quiet() {
-                return Some(connection);
+            match connection.socket.unread() {
+                Unread::Bytes => self.unrequested_bytes_at = Some(Instant::now()),
+                Unread::Closed => {}
+                Unread::Nothing if since.elapsed() < self.idle_timeout && connection.is_alive() => {
+                    return Some(connection);
+                }
+                Unread::Nothing => {}
             }
         }
-        None
     }
 
     /// Reserves a slot for one more connection. If all are taken, the connection that has been idle for longest
@@ -204,11 +229,6 @@
 }
 
 impl ServerConnection {
-    /// Whether the socket holds neither a close nor bytes, which the next request would get as its response.
-    fn is_quiet(&self) -> bool {
-        self.socket.unread() == Unread::Nothing
-    }
-
     /// Polls the connection once, without waiting, and returns whether it is still open.
     fn is_alive(&mut self) -> bool {
         let mut context = std::task::Context::from_waker(std::task::Waker::noop());
@@ -274,7 +294,8 @@
         return (Outcome::NotSent, None);
     }
     let Some(addr) = driver.server_address(&job.server) else { return (Outcome::NotSent, None) };
-    let pooled = upstream.pool.borrow_mut().checkout(&job.server);
+    let max_open = driver.share_of(driver.config.max_server_connections);
+    let pooled = upstream.pool.borrow_mut().checkout(&job.server, max_open);
     let mut conn = match pooled {
         Some(pooled) => pooled,
         None => match connect(upstream, driver, addr).await {
@@ -489,7 +510,7 @@
                         handshake(stream, callbacks, slot).await.map_err(drop).expect("a connection");
                     pool.return_idle(&server, connection);
                 }
-                std::thread::sleep(MIN_IDLE_BEFORE_REUSE * 2);
+                std::thread::sleep(IDLE_BEFORE_REUSE * 2);
                 // The first connection stays open. The most recently used one is tried first.
                 let open = server_sides.remove(0);
                 for mut stream in server_sides {
@@ -505,11 +526,11 @@
                     .and_then(|connections| connections.last_mut())
                     .expect("idle connections");
                 assert!(
-                    last.connection.is_alive() && !last.connection.is_quiet(),
+                    last.connection.is_alive() && last.connection.socket.unread() != Unread::Nothing,
                     "the event loop has not seen the close or the bytes"
                 );
-                let usable = pool.checkout(&server).expect("the open connection");
-                assert!(usable.is_quiet());
+                let usable = pool.checkout(&server, 9).expect("the open connection");
+                assert_eq!(usable.socket.unread(), Unread::Nothing);
                 assert_eq!(pool.open.get(), 1, "unusable connections are closed");
                 drop((usable, open, closing));
                 assert_eq!(pool.open.get(), 0);
