Log lines wait in a queue, so that a log that nobody reads stops nothing

Cause: the one thread that serves wrote the lines to standard error itself, and waited for the reader of the pipe.

Change: a bounded queue and a thread that writes (logging/line_queue.rs). Dropped lines are counted (log_dropped in stats) and reported once the log is read again; the process waits half a second at most for its last lines.

--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -30,6 +30,7 @@
 use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tracing::{debug, info};
 
+use crate::logging;
 use crate::payload::{Chunk, Payload, StreamedBody};
 use crate::reload::ReloadTrigger;
 use crate::settings::config::Config;
@@ -178,6 +179,8 @@
     pub denied: u64,
     /// Violations of the rules that this process has detected in itself.
     pub violations: u64,
+    /// Log lines that were dropped, because nobody read them or they could not be written.
+    pub log_dropped: u64,
 }
 
 /// The engine and everything around it. Single-threaded, so nothing is locked.
@@ -431,6 +434,7 @@
             reloads: self.reload_counts.get(),
             denied: self.denied_attempts.get(),
             violations: self.violations().total(),
+            log_dropped: logging::dropped_lines(),
         }
     }
 
--- a/marldeal/src/management/line.rs
+++ b/marldeal/src/management/line.rs
@@ -79,6 +79,7 @@
         ("sighup_rejected", stats.reloads.rejected),
         ("denied", stats.denied),
         ("violations", stats.violations),
+        ("log_dropped", stats.log_dropped),
     ];
     for (name, value) in totals {
         let _ = writeln!(text, "{name}={value}");
--- a/marldeal/src/run.rs
+++ b/marldeal/src/run.rs
@@ -32,6 +32,7 @@
     fawnhill::planted::activate(
         std::env::var("MARLDEAL_PLANTED").ok().and_then(|f| fawnhill::planted::Fault::from_name(&f)),
     );
+    let _final_lines = logging::FinalLines;
     let inherited = upgrade::inherit::listener()?;
     let runtime = transient::retry_blocking(|| {
         Builder::new_current_thread().enable_all().build_local(LocalOptions::default())
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -6,8 +6,9 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
+use std::time::Duration;
 
 use command_fds::{CommandFdExt, FdMapping};
 pub use marldeal_soak::shim::{FailingCalls, Shim};
@@ -70,6 +71,15 @@
 pub struct Process {
     child: Child,
     log: Arc<Mutex<String>>,
+    log_reader: Arc<AtomicU8>,
+}
+
+/// What the reader of a process's log does. It changes after the next line.
+#[derive(Debug, Clone, Copy)]
+pub enum LogReader {
+    Reads,
+    StandsStill,
+    Leaves,
 }
 
 impl Process {
@@ -77,13 +87,25 @@
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let log = Arc::new(Mutex::new(String::new()));
-        let collected = log.clone();
+        let log_reader = Arc::new(AtomicU8::new(LogReader::Reads as u8));
+        let (collected, reader) = (log.clone(), log_reader.clone());
+        let reader_is = move |state: LogReader| reader.load(Ordering::SeqCst) == state as u8;
         std::thread::spawn(move || {
             for text in stderr.lines().map_while(Result::ok) {
                 collected.lock().expect("lock").push_str(&format!("{text}\n"));
+                while reader_is(LogReader::StandsStill) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                if reader_is(LogReader::Leaves) {
+                    return;
+                }
             }
         });
-        Process { child, log }
+        Process { child, log, log_reader }
+    }
+
+    pub fn set_log_reader(&self, state: LogReader) {
+        self.log_reader.store(state as u8, Ordering::SeqCst);
     }
 
     pub fn log(&self) -> String {
@@ -266,6 +288,12 @@
         })
     }
 
+    /// Starts with a management address and a log of every request.
+    pub fn logging_requests(servers: &[(&str, &Stub, &str)]) -> Limiter {
+        let with_management = |c: String| c.replacen("{", r#"{"mgmt":"127.0.0.1:0","#, 1);
+        Limiter::new(servers, with_management, 1024, Some("[log]\nrequests = true\n".to_string()))
+    }
+
     /// Starts with a configuration file that cannot be opened while the file `while_exists` exists.
     pub fn with_failing_config_open(servers: &[(&str, &Stub, &str)], while_exists: &Path) -> Limiter {
         Limiter::with_command(servers, |c| c, 1024, None, &|command, config| {
