--- a/marldeal/src/upstream/servers.rs
+++ b/marldeal/src/upstream/servers.rs
@@ -1,7 +1,7 @@
 //! Attempts at servers, and the pool of connections to them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -133,10 +133,11 @@
     since: Instant,
 }
 
-/// Idle connections by server, and a bound on all open ones. The key is not the address: a new server at the
-/// address of a removed one must not receive requests over the removed server's connections.
+/// Idle connections by server, the one that has been idle for longest first, and a bound on all open ones. The key is not
+/// the address: a new server at the address of a removed one must not receive requests over the removed server's
+/// connections.
 struct ConnectionPool {
-    idle: HashMap<ServerId, Vec<IdleConnection>>,
+    idle: HashMap<ServerId, VecDeque<IdleConnection>>,
     idle_timeout: Duration,
     /// The number of open connections, idle or not.
     open: Rc<Cell<usize>>,
@@ -181,15 +182,17 @@
     /// would be given those bytes as its response. The event loop may not have seen the event yet, so the
     /// kernel is asked as well.
     fn checkout(&mut self, server: &ServerId, max_open: usize) -> Option<ServerConnection> {
+        let now = Instant::now();
         loop {
-            let idle_before_reuse = self.idle_before_reuse(max_open);
+            let latest = now.checked_sub(self.idle_before_reuse(max_open))?;
             let connections = self.idle.get_mut(server)?;
-            let at = connections.iter().rposition(|l| l.since.elapsed() >= idle_before_reuse)?;
-            let IdleConnection { mut connection, since } = connections.remove(at);
+            let idle_long_enough = connections.partition_point(|idle| idle.since <= latest);
+            let IdleConnection { mut connection, since } =
+                connections.remove(idle_long_enough.checked_sub(1)?)?;
             match connection.socket.unread() {
-                Unread::Bytes => self.unrequested_bytes_at = Some(Instant::now()),
+                Unread::Bytes => self.unrequested_bytes_at = Some(now),
                 Unread::Closed => {}
-                Unread::Nothing if since.elapsed() < self.idle_timeout && connection.is_alive() => {
+                Unread::Nothing if now - since < self.idle_timeout && connection.is_alive() => {
                     return Some(connection);
                 }
                 Unread::Nothing => {}
@@ -211,7 +214,7 @@
     fn drop_oldest(&mut self) -> Option<()> {
         let oldest = self.idle.iter().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| l[0].since);
         let server = oldest.map(|(server, _)| server.clone())?;
-        self.idle.get_mut(&server)?.remove(0);
+        self.idle.get_mut(&server)?.pop_front();
         Some(())
     }
 
@@ -224,7 +227,7 @@
         self.idle
             .entry(server.clone())
             .or_default()
-            .push(IdleConnection { connection, since: Instant::now() });
+            .push_back(IdleConnection { connection, since: Instant::now() });
     }
 }
 
@@ -523,7 +526,7 @@
                 let last = pool
                     .idle
                     .get_mut(&server)
-                    .and_then(|connections| connections.last_mut())
+                    .and_then(|connections| connections.back_mut())
                     .expect("idle connections");
                 assert!(
                     last.connection.is_alive() && last.connection.socket.unread() != Unread::Nothing,
