Uploads that are open at SIGTERM are answered before SIGKILL

Cause: the time of the kill (Input::KillExpected) was only stored, and applied to a request when it was opened or its upload was renewed. A request that was open at SIGTERM needed a later report to be shortened, and none comes while its server takes nothing, unless a declared length shows that more is to come. The decision module was not notified and leaves uploads to the engine's deadline.

Fix: at the notice each open request whose answer has not begun gets the deadline of the last answer, and the module is notified (Event::KillExpected) and gives its own answer in time. No later report is needed, whatever the framing, so standby, a hand-over, uploads that were whole before SIGTERM and a notice that is read late are covered by the same line.

Tests, red before: uploads_at_a_server_that_reads_nothing_are_answered_before_sigkill (stopped, in standby, upgraded: [429, none, 429, none] each; the uploads with a declared length were held before) and three of the engine, one a property test. The module's test needs the new event.

A check changed: requests_received_before_a_kill_are_answered_before_it asserted that "earlier requests keep their time", which is this fault. It is replaced by requests_open_or_received_before_a_kill_are_answered_before_it: the same requests and bounds, and nothing may be open at the kill.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -142,8 +142,8 @@
         /// The message.
         body: Vec<u8>,
     },
-    /// The process may be killed at this time. A request whose last byte is received from now on is answered before it,
-    /// however much of its time budget is left then.
+    /// The process may be killed at this time. Each request is answered before it, whether it is open already or is
+    /// received later, however much of its time budget is left then. An answer that is being streamed goes on.
     KillExpected {
         /// The last time at which an answer can be given.
         at: Millis,
@@ -398,7 +398,7 @@
                 }
                 self.events.push_back(Event::MessageReceived { from, body });
             }
-            Input::KillExpected { at } => self.last_answer_at = at,
+            Input::KillExpected { at } => self.expect_kill(now, at, out),
             Input::HandoverMessage { body } => self.events.push_back(Event::HandoverMessage { body }),
             Input::TimerExpired => self.expire_timers(now, out),
         }
@@ -553,6 +553,25 @@
         Some(id)
     }
 
+    /// Shortens the time budget of each open request, so that it is answered before the process may be killed. No later
+    /// input need come for it: a body of unknown length is not known to arrive while its server takes nothing.
+    fn expect_kill(&mut self, now: Millis, at: Millis, out: &mut Vec<Output>) {
+        self.last_answer_at = at;
+        let mut shortened = 0;
+        for (id, request) in &mut self.requests {
+            if !request.streaming && request.deadline > at {
+                request.deadline = at;
+                self.timers.push(at, Timer::Deadline(*id));
+                shortened += 1;
+            }
+        }
+        let (open, left_ms) = (self.requests.len(), (at - now).max(0.0));
+        out.push(Output::Log(format!(
+            "{open} requests are open, {shortened} of them get less time: answers are possible for {left_ms:.0} ms"
+        )));
+        self.events.push_back(Event::KillExpected { at });
+    }
+
     /// Restarts the time budget of a request whose client is still sending the body.
     fn renew_upload(&mut self, now: Millis, id: RequestId) {
         let Some(request) = self.requests.get_mut(&id) else { return };
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -367,30 +367,107 @@
     assert_eq!(out, [Output::Stop { id, attempt: 0, outcome: Outcome::Cancelled }]);
 }
 
+/// The ids of the requests that were answered.
+fn answered(out: &[Output]) -> BTreeSet<RequestId> {
+    out.iter().filter_map(|o| if let Output::Answer { id, .. } = o { Some(*id) } else { None }).collect()
+}
+
 /// Guards against requests that are open when the process is killed: from the notice on, a request has until then at
-/// most, whether it was received whole or its body still arrives. Earlier requests keep their time.
+/// most, whether it is open already or comes later, whether it was received whole, its body is known to arrive, or
+/// nothing more is reported of its body.
 #[test]
-fn requests_received_before_a_kill_are_answered_before_it() {
+fn requests_open_or_received_before_a_kill_are_answered_before_it() {
     let (mut engine, mut out) = engine();
-    let early = upload(&mut engine, &mut out, 10.0, 410.0);
+    let unreported = upload(&mut engine, &mut out, 10.0, 410.0);
+    let written = upload(&mut engine, &mut out, 415.0, 415.0);
+    engine.handle(418.0, Input::Written { id: written, attempt: 0 }, &mut out);
     let uploaded = upload(&mut engine, &mut out, 420.0, 920.0);
+    let whole_request =
+        |id: &'static [u8]| Input::Request { correlation_id: id.into(), request: request(1, 1) };
+    let whole_before = engine.handle(920.0, whole_request(b"before"), &mut out).expect("accepted");
     engine.handle(920.0, Input::KillExpected { at: 1700.0 }, &mut out);
-    let whole = Input::Request { correlation_id: b"whole".as_slice().into(), request: request(1, 1) };
-    let whole = engine.handle(1000.0, whole, &mut out).expect("the request is accepted");
+    let whole_after = engine.handle(1000.0, whole_request(b"after"), &mut out).expect("accepted");
     engine.handle(1500.0, Input::Uploading { id: uploaded }, &mut out);
     out.clear();
     run_until(&mut engine, 1700.0, &mut out);
-    let answered: BTreeSet<RequestId> =
-        out.iter().filter_map(|o| if let Output::Answer { id, .. } = o { Some(*id) } else { None }).collect();
-    assert_eq!(answered, BTreeSet::from([whole, uploaded]));
+    let all = BTreeSet::from([unreported, written, uploaded, whole_before, whole_after]);
+    assert_eq!((answered(&out), engine.open_requests()), (all, 0));
     out.clear();
-    let late = Input::Request { correlation_id: b"late".as_slice().into(), request: request(1, 1) };
-    engine.handle(1710.0, late, &mut out);
+    engine.handle(1710.0, whole_request(b"late"), &mut out);
     assert_eq!(answers(&out), [Answer::Refused { retry_ms: 0.0 }], "there is no time left");
-    run_until(&mut engine, 3400.0, &mut out);
-    assert_eq!(engine.open_requests(), 1);
-    run_until(&mut engine, 3411.0, &mut out);
-    assert_eq!(engine.open_requests(), 0, "request {early} has its whole time budget");
+}
+
+/// Guards against a notice that is read when its time is over, since the process was stalled.
+#[test]
+fn requests_are_answered_at_once_if_the_kill_may_come_at_any_moment() {
+    let (mut engine, mut out) = engine();
+    let id = upload(&mut engine, &mut out, 10.0, 410.0);
+    engine.handle(500.0, Input::KillExpected { at: 400.0 }, &mut out);
+    assert!(engine.next_due().is_some_and(|due| due <= 500.0));
+    run_until(&mut engine, 500.0, &mut out);
+    assert_eq!(answered(&out), BTreeSet::from([id]));
+}
+
+/// What a client and a server do with a request around a kill. Times are in milliseconds after its start.
+#[derive(Debug, Clone)]
+struct RequestAroundKill {
+    class: usize,
+    budget_ms: f64,
+    began: u32,
+    /// How long the client is known to send a body that is streamed.
+    uploading_ms: Option<u32>,
+    /// When the last byte of the body is written to the server.
+    written_ms: Option<u32>,
+}
+
+fn request_around_kill() -> impl Strategy<Value = RequestAroundKill> {
+    let times = (0u32..4000, prop::option::of(0u32..4000), prop::option::of(0u32..4000));
+    (0usize..3, 200u32..8000, times).prop_map(|(class, budget_ms, (began, uploading_ms, written_ms))| {
+        RequestAroundKill { class, budget_ms: f64::from(budget_ms), began, uploading_ms, written_ms }
+    })
+}
+
+/// Interval between the inputs of a simulated request.
+const TICK_MS: u32 = 50;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// No request is open once the process may be killed, whatever is reported of it before and after the notice.
+    #[test]
+    fn no_request_is_open_when_the_process_may_be_killed(
+        requests in prop::collection::vec(request_around_kill(), 1..12),
+        notice in 0u32..4000,
+        answers_possible in 0u32..4000,
+    ) {
+        let (mut engine, mut out) = engine();
+        let last_answer = notice + answers_possible;
+        let mut ids = vec![None; requests.len()];
+        for now in (0..last_answer.max(4000) + TICK_MS).step_by(TICK_MS as usize) {
+            let at = f64::from(now);
+            run_until(&mut engine, at, &mut out);
+            if now.abs_diff(notice) < TICK_MS && now >= notice {
+                engine.handle(at, Input::KillExpected { at: f64::from(last_answer) }, &mut out);
+            }
+            for (n, r) in requests.iter().enumerate() {
+                let is_due = |ms: u32| now >= r.began + ms && now < r.began + ms + TICK_MS;
+                if is_due(0) {
+                    let correlation_id = [n as u8].as_slice().into();
+                    let request = Request { budget_ms: r.budget_ms, ..request(r.class, 1) };
+                    ids[n] = engine.handle(at, Input::Request { correlation_id, request }, &mut out);
+                }
+                let Some(id) = ids[n] else { continue };
+                if r.uploading_ms.is_some_and(|ms| now <= r.began + ms) {
+                    engine.handle(at, Input::Uploading { id }, &mut out);
+                }
+                if r.written_ms.is_some_and(is_due) {
+                    engine.handle(at, Input::Written { id, attempt: 0 }, &mut out);
+                }
+            }
+            run_until(&mut engine, at, &mut out);
+            prop_assert!(now < last_answer.max(notice + TICK_MS) || engine.open_requests() == 0, "at {}", now);
+        }
+    }
 }
 
 /// Guards against an answer that is cut off because its request's body was written, or more of it arrived, after the
@@ -400,6 +477,7 @@
     let (mut engine, mut out) = engine();
     let id = upload(&mut engine, &mut out, 10.0, 1010.0);
     engine.handle(1020.0, Input::Streaming { id, attempt: 0 }, &mut out);
+    engine.handle(1040.0, Input::KillExpected { at: 1700.0 }, &mut out);
     engine.handle(1060.0, Input::Uploading { id }, &mut out);
     engine.handle(1100.0, Input::Written { id, attempt: 0 }, &mut out);
     run_until(&mut engine, 30_000.0, &mut out);
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -342,7 +342,7 @@
     ///
     /// # Errors
     /// The process is already ending.
-    pub fn handle_command(&self, command: Command) -> Result<Phase, AlreadyEnding> {
+    pub fn handle_command(self: &Rc<Self>, command: Command) -> Result<Phase, AlreadyEnding> {
         self.can_serve();
         let before = self.phase();
         let now = self.now();
@@ -360,11 +360,15 @@
     }
 
     /// Computes from a stop that was read at `now` when the process may be killed, and notifies the engine.
-    fn expect_kill(&self, now: f64) {
+    fn expect_kill(self: &Rc<Self>, now: f64) {
         let waited_ms = self.stall_detector.borrow_mut().max_queued_ms(now);
         self.lifecycle.borrow_mut().backdate_stop(waited_ms);
         let at = self.with_lifecycle(|life, _| life.last_answer_at());
-        self.handle_input(&mut self.state.borrow_mut(), Input::KillExpected { at });
+        if at.is_finite() {
+            let mut state = self.state.borrow_mut();
+            self.handle_input(&mut state, Input::KillExpected { at });
+            self.execute_outputs(&mut state, None);
+        }
     }
 
     /// Sets whether another process of this limiter is running, and adapts the limits.
--- a/marldeal/src/management/mod.rs
+++ b/marldeal/src/management/mod.rs
@@ -62,7 +62,7 @@
 
 /// Handles one call. Errors are ignored by the caller of this function: they mean that the operator has
 /// disconnected.
-async fn handle_connection(driver: &Driver, stream: TcpStream) -> std::io::Result<()> {
+async fn handle_connection(driver: &Rc<Driver>, stream: TcpStream) -> std::io::Result<()> {
     let mut stream = DrainingStream::new(stream);
     let mut bytes = Vec::with_capacity(MAX_LINE_BYTES);
     let answer = loop {
@@ -89,7 +89,7 @@
     Ok(())
 }
 
-fn perform(driver: &Driver, call: Call) -> String {
+fn perform(driver: &Rc<Driver>, call: Call) -> String {
     let phase_answer = |result: Result<_, marldeal_lifecycle::AlreadyEnding>| match result {
         Ok(phase) => line::success(&format!("{phase}"), None),
         Err(ending) => line::failure(&ending.to_string()),
--- a/marldeal/tests/upgrade.rs
+++ b/marldeal/tests/upgrade.rs
@@ -34,14 +34,18 @@
 
 impl Environment {
     fn new(servers: &[(&str, &Stub, &str)]) -> Environment {
+        let entries: Vec<_> = servers.iter().map(|(id, stub, state)| (*id, stub.addr, *state)).collect();
+        Environment::with_addresses(&entries)
+    }
+
+    fn with_addresses(servers: &[(&str, SocketAddr, &str)]) -> Environment {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let dir = std::env::temp_dir().join(format!("marldeal-up-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory");
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let entries: Vec<_> = servers.iter().map(|(id, stub, state)| (*id, stub.addr, *state)).collect();
-        let discovery = Discovery::shared(update_line(1, true, &entries));
+        let discovery = Discovery::shared(update_line(1, true, servers));
         std::fs::write(dir.join("config.json"), config(discovery.addr)).expect("written");
         Environment { listener, addr, dir, discovery }
     }
@@ -212,21 +216,27 @@
 const LONGEST_DEADLINE: Duration = Duration::from_millis(1500);
 /// SIGKILL follows SIGTERM after the longest deadline and 0.7 s.
 const SIGKILL_AFTER: Duration = LONGEST_DEADLINE.saturating_add(Duration::from_millis(700));
+fn with_longest_deadline(config: String) -> String {
+    let deadline = format!(r#""LateWorth":0,"DeadlineMs":{}"#, LONGEST_DEADLINE.as_millis());
+    config.replace(r#""LateWorth":0"#, &deadline)
+}
+
 /// The bookings arrive whole this long after SIGTERM.
 const BODY_COMPLETE_AFTER: Duration = Duration::from_millis(1700);
 
 /// Ends the old process as the platform does, and then completes the bookings. Returns the status of each answer, or
 /// nothing where the connection ended without one.
-fn complete_bookings_while_ending(old: &Process, bookings: [(TcpStream, String); 2]) -> Vec<Option<u16>> {
+fn complete_bookings_while_ending(old: &Process, bookings: Vec<(TcpStream, String)>) -> Vec<Option<u16>> {
     let terminated = Instant::now();
     old.signal("TERM");
-    let clients = bookings.map(|(mut stream, rest)| {
+    let complete = |(mut stream, rest): (TcpStream, String)| {
         std::thread::spawn(move || {
             std::thread::sleep(BODY_COMPLETE_AFTER);
             stream.write_all(rest.as_bytes()).expect("write");
             read(&mut stream).map(|answer| answer.status)
         })
-    });
+    };
+    let clients: Vec<_> = bookings.into_iter().map(complete).collect();
     std::thread::sleep(SIGKILL_AFTER.saturating_sub(terminated.elapsed()));
     old.signal("KILL");
     clients.into_iter().map(|client| client.join().expect("the client ends")).collect()
@@ -242,10 +252,8 @@
             std::thread::sleep(Duration::from_secs(3));
             write_ok(stream, "too late")
         });
-        let deadline = format!(r#""LateWorth":0,"DeadlineMs":{}"#, LONGEST_DEADLINE.as_millis());
-        let environment = Environment::new(&[("s-1", &server, "active")]).alter(|config| {
-            config.replace(r#""LateWorth":0"#, &deadline).replace(r#""memory_mb":192"#, r#""memory_mb":20"#)
-        });
+        let environment = Environment::new(&[("s-1", &server, "active")])
+            .alter(|config| with_longest_deadline(config).replace(r#""memory_mb":192"#, r#""memory_mb":20"#));
         let old = environment.start();
         wait_until_serving(&old);
         let new = upgraded.then(|| {
@@ -262,13 +270,81 @@
             (stream, rest.to_string())
         });
         wait_for("the streamed booking", || old.stat("outstanding") == 1);
-        let answers = complete_bookings_while_ending(&old, bookings);
+        let answers = complete_bookings_while_ending(&old, bookings.into());
         // The server may have run them.
         assert_eq!(answers, [Some(502), Some(502)], "upgraded: {upgraded}");
         drop(new);
     }
 }
 
+/// How a process comes to its end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Ending {
+    Stopped,
+    StoppedInStandby,
+    Upgraded,
+}
+
+/// How long new clients may still arrive after a limiter has reported that it is not ready.
+const READINESS_LAG: Duration = Duration::from_millis(600);
+/// Length of the uploads. Under the default limit on memory bodies over 5,033,164 bytes are streamed.
+const UPLOAD_BYTES: usize = 5_090_000;
+/// The end of an upload that a client still has to send when its limiter is asked to end.
+const UPLOAD_REST: usize = 50_000;
+const CHUNK_BYTES: usize = 10_000;
+
+/// A booking whose body has a declared length, or comes in chunks.
+fn upload(key: &str, chunked: bool) -> String {
+    if !chunked {
+        return post("book", key, "", &"b".repeat(UPLOAD_BYTES));
+    }
+    let head = post("book", key, "", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "b".repeat(CHUNK_BYTES));
+    head + &chunk.repeat(UPLOAD_BYTES / CHUNK_BYTES) + "0\r\n\r\n"
+}
+
+/// Begins an upload and returns the rest that its client has to send.
+fn begin_upload(environment: &Environment, chunked: bool, rest: usize) -> (TcpStream, String) {
+    let request =
+        upload(&format!("{chunked}-{rest}"), chunked).replace("X-Time-Left: 3.0", "X-Time-Left: 8.0");
+    let (first, rest) = request.split_at(request.len() - rest);
+    let mut stream = environment.connect();
+    stream.write_all(first.as_bytes()).expect("write");
+    (stream, rest.to_string())
+}
+
+/// Guards against uploads that are open when the platform kills their process, because they keep the time that they had
+/// before SIGTERM: their server takes nothing of them, so that nothing more is reported of them from then on.
+#[test]
+fn uploads_at_a_server_that_reads_nothing_are_answered_before_sigkill() {
+    let answers = [Ending::Stopped, Ending::StoppedInStandby, Ending::Upgraded].map(|ending| {
+        let hanging = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = hanging.local_addr().expect("an address");
+        let environment =
+            Environment::with_addresses(&[("s-1", addr, "active")]).alter(with_longest_deadline);
+        let old = environment.start();
+        wait_until_serving(&old);
+        let uploads: Vec<_> = [(false, 0), (true, 0), (false, UPLOAD_REST), (true, UPLOAD_REST)]
+            .map(|(chunked, rest)| begin_upload(&environment, chunked, rest))
+            .into();
+        wait_for("the uploads", || old.stat("outstanding") == uploads.len() as u64);
+        let new = (ending == Ending::Upgraded).then(|| {
+            let new = environment.start();
+            wait_until_serving(&new);
+            new
+        });
+        if ending == Ending::StoppedInStandby {
+            assert!(old.management_call(b"standby\n").starts_with("SUCCESS"));
+        }
+        std::thread::sleep(READINESS_LAG);
+        let answers = complete_bookings_while_ending(&old, uploads);
+        drop(new);
+        answers
+    });
+    // No server can have begun them.
+    assert_eq!(answers, [[Some(429); 4]; 3], "{answers:?}");
+}
+
 /// Depth (units) and rate (units per second) of the hard ceiling in the tests below. Its slack is one unit.
 const CEILING_DEPTH: f64 = 100.0;
 const CEILING_RATE: f64 = 25.0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -289,6 +289,12 @@
         /// The message.
         body: Vec<u8>,
     },
+    /// The process may be killed at this time, and every open request is to be answered before it. The budgets of later
+    /// requests take it into account.
+    KillExpected {
+        /// The last time at which an answer can be given.
+        at: Millis,
+    },
     /// A counter call ended.
     Counted {
         /// Name of the counter.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -169,6 +169,7 @@
             Event::Wake { token } => self.on_wake(token, out),
             Event::MessageReceived { from, body } => self.on_message(from, &body, out),
             Event::HandoverMessage { body } => self.on_handover_message(&body, out),
+            Event::KillExpected { at } => self.on_kill_expected(at, out),
             Event::Probed { .. } | Event::Counted { .. } => {}
         }
     }
@@ -192,9 +193,7 @@
             return;
         }
         let target_ms = self.settings.classes[request.class].aim_ms;
-        // Two rounds early: a wake-up comes up to one round late, and the answer needs time to reach the
-        // client.
-        let deadline = (request.budget_ms - 2.0 * self.settings.round_ms).max(0.0);
+        let deadline = (request.budget_ms - self.answer_lead_ms()).max(0.0);
         out.push(Action::Wake { after_ms: deadline, token: wake_token(request.id, WAKE_DEADLINE) });
         if target_ms < deadline {
             out.push(Action::Wake { after_ms: target_ms, token: wake_token(request.id, WAKE_TARGET) });
@@ -207,6 +206,22 @@
         next_step(self, id, out);
     }
 
+    /// How long before a deadline the answer is given: a wake-up comes up to one round late, and the answer needs time
+    /// to reach the client.
+    fn answer_lead_ms(&self) -> Millis {
+        2.0 * self.settings.round_ms
+    }
+
+    /// Brings the deadlines of open requests forward, so that all are answered before the process may be killed.
+    fn on_kill_expected(&mut self, at: Millis, out: &mut Vec<Action>) {
+        let (now, deadline) = (self.now, at - self.answer_lead_ms());
+        for (id, request) in self.requests.iter_mut().filter(|(_, request)| request.deadline > deadline) {
+            request.deadline = deadline;
+            let after_ms = (deadline - now).max(0.0);
+            out.push(Action::Wake { after_ms, token: wake_token(*id, WAKE_DEADLINE) });
+        }
+    }
+
     /// Sends a request if its slots fit and a server accepts it, and holds it otherwise.
     pub(crate) fn dispatch(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.attempt_demand.add(self.now, 1.0);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -27,6 +27,24 @@
     );
 }
 
+/// Guards against requests that are unanswered when the process is killed, or fail where a repeat is known to be
+/// harmless: the module gives its answer in time after the notice.
+#[test]
+fn open_requests_are_answered_before_the_process_may_be_killed() {
+    let mut s = settings(0);
+    s.classes.iter_mut().for_each(|class| class.late_worth = 0.2);
+    let mut limiter = SimulatedLimiter::new(s, 3);
+    limiter.submit(request(1, SAFE, UNLIMITED));
+    limiter.submit(request(2, UNSAFE, UNLIMITED));
+    limiter.advance(500.0);
+    assert!(limiter.handle(Event::KillExpected { at: limiter.now + 1000.0 }).is_empty());
+    let before = limiter.advance(980.0);
+    assert!(!refused(&before) && !failed(&before), "{before:?}");
+    let answers = limiter.advance(19.0);
+    assert!(answers.contains(&Action::Refuse { id: 1, retry_ms: 0.0 }), "{answers:?}");
+    assert!(answers.contains(&Action::Fail { id: 2 }), "{answers:?}");
+}
+
 #[test]
 fn unsafe_request_that_may_have_run_is_not_retried() {
     for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Severed, Outcome::Cancelled] {
