An upgrade while discovery is silent keeps what the old process was told

The new process starts with the list of its configuration, which is older than the drain, and counts it as current after 2 s without a word from discovery.

The new process takes it over if it is newer than its own: of one source the higher version, of two what discovery has said rather than what a configuration says. Discovery's next word goes on from there.

The list's functions moved from driver.rs to driver/server_list.rs, and the environment of the upgrade tests to tests/stubs.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -457,7 +457,12 @@
         self.limiter.avoided_servers(now)
     }
 
-    /// Returns the state at `now` for a successor process. `written_at` and `wall_time` are the same moment on the
+    /// Returns the server list as the decision module knows it, in the order of the ids. It holds no addresses.
+    pub fn server_entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.limiter.server_entries()
+    }
+
+    /// Returns the state at `now` for a successor process, without the server list. `written_at` and `wall_time` are the same moment on the
     /// machine's clocks. `kind` says what this process does from here on: with a final snapshot the decision module hands
     /// its accounts over and grants nothing any more.
     pub fn snapshot(
@@ -476,6 +481,7 @@
                 SnapshotKind::Final => self.limiter.retire(now),
             },
             written_at: Some(written_at),
+            server_list: None,
         }
     }
 
--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -25,6 +25,7 @@
 //!     next_request: 7,
 //!     state,
 //!     written_at: Some(MonotonicTime::from_millis(20.0)),
+//!     server_list: None,
 //! };
 //! let bytes = snapshot.to_bytes(&settings);
 //! let read = Snapshot::from_bytes(&bytes, &settings).expect("bytes just encoded");
@@ -36,6 +37,7 @@
 #![warn(missing_docs)]
 
 pub mod moments;
+pub mod server_list;
 
 use std::fmt;
 
@@ -43,6 +45,7 @@
 use fawnhill::{Millis, RequestId, Settings};
 use moments::{MonotonicTime, WallTime};
 use serde::{Deserialize, Serialize};
+use server_list::ServerList;
 
 /// The first bytes of each snapshot.
 const MAGIC: [u8; 4] = *b"MDSN";
@@ -85,6 +88,10 @@
     /// readers ignore it.
     #[serde(skip)]
     pub written_at: Option<MonotonicTime>,
+    /// The servers that the writer knows; none from a release that did not write them. Encoded last, and only behind the
+    /// time of writing.
+    #[serde(skip)]
+    pub server_list: Option<ServerList>,
 }
 
 /// Why bytes were rejected as a snapshot.
@@ -124,8 +131,11 @@
         loop {
             // Encoding these types does not fail. If it did, the body would be empty, and a reader would reject it.
             let mut body = postcard::to_stdvec(&reduced).unwrap_or_default();
-            if let Some(written_at) = self.written_at {
+            if let Some(written_at) = reduced.written_at {
                 body.extend(postcard::to_stdvec(&written_at).unwrap_or_default());
+                if let Some(server_list) = &reduced.server_list {
+                    body.extend(postcard::to_stdvec(server_list).unwrap_or_default());
+                }
             }
             if HEADER_LEN + body.len() <= MAX_BYTES {
                 let mut bytes = Vec::with_capacity(HEADER_LEN + body.len());
@@ -137,15 +147,21 @@
                 bytes.extend_from_slice(&body);
                 return bytes;
             }
-            // Accounts are dropped last, as no other limiter has their contents.
-            let state = &mut reduced.state;
-            state.customers.truncate(state.customers.len() / 2);
-            state.grants.truncate(state.grants.len() / 2);
-            if state.customers.len() + state.grants.len() < 1000 {
-                state.accounts.truncate(state.accounts.len() / 2);
-                state.servers.truncate(state.servers.len() / 2);
-            }
+            reduced.drop_records();
+        }
+    }
+
+    /// Drops some of the records. Accounts are dropped last, as no other limiter has their contents. The server list stays,
+    /// since without it the reader would send requests to servers that drain.
+    fn drop_records(&mut self) {
+        let state = &mut self.state;
+        state.customers.truncate(state.customers.len() / 2);
+        state.grants.truncate(state.grants.len() / 2);
+        if state.customers.len() + state.grants.len() >= 1000 {
+            return;
         }
+        state.accounts.truncate(state.accounts.len() / 2);
+        state.servers.truncate(state.servers.len() / 2);
     }
 
     /// Decodes a snapshot, as a whole or not at all.
@@ -181,15 +197,37 @@
         if !times_are_finite {
             return Err(ReadError::Corrupt("the time of writing is not a finite number".to_string()));
         }
+        if !read.server_list.as_ref().is_none_or(ServerList::is_finite) {
+            return Err(ReadError::Corrupt("the server list has a value that is not finite".to_string()));
+        }
         Ok(read)
     }
+
+    /// Takes the server list out, brought forward to `now`; none if there is none, or if the snapshot has expired.
+    pub fn take_server_list(&mut self, now: MonotonicTime) -> Option<ServerList> {
+        let age_ms = self.age_ms(now);
+        let mut list = self.server_list.take().filter(|_| age_ms <= MAX_AGE_MS)?;
+        list.advance(age_ms);
+        Some(list)
+    }
+
+    /// Age at `now`. A `now` before the time of writing counts as age 0, and so does a snapshot without a monotonic time:
+    /// its writer sends it over a connection as soon as it is written.
+    fn age_ms(&self, now: MonotonicTime) -> Millis {
+        self.written_at.map_or(0.0, |written_at| now.since(written_at))
+    }
 }
 
-/// Decodes the body. A release that did not write the monotonic time ends before it.
+/// Decodes the body. A release that did not write the monotonic time, or the server list, ends before it.
 fn decode(body: &[u8]) -> postcard::Result<Snapshot> {
     let (mut read, rest) = postcard::take_from_bytes::<Snapshot>(body)?;
+    if rest.is_empty() {
+        return Ok(read);
+    }
+    let (written_at, rest) = postcard::take_from_bytes(rest)?;
+    read.written_at = Some(written_at);
     if !rest.is_empty() {
-        read.written_at = Some(postcard::from_bytes(rest)?);
+        read.server_list = Some(postcard::from_bytes(rest)?);
     }
     Ok(read)
 }
@@ -224,10 +262,9 @@
 /// Number of request IDs skipped after a final snapshot, because the writer may still assign some of them.
 const REQUEST_ID_GAP: RequestId = 1 << 20;
 
-/// Decides how a snapshot is used at `now`. A `now` before the time of writing counts as age 0, and so does a snapshot
-/// without a monotonic time: its writer sends it over a connection as soon as it is written.
+/// Decides how the state in a snapshot is used at `now`.
 pub fn assess(snapshot: Snapshot, now: MonotonicTime) -> Assessment {
-    let age_ms = snapshot.written_at.map_or(0.0, |written_at| now.since(written_at));
+    let age_ms = snapshot.age_ms(now);
     let mut state = snapshot.state;
     match snapshot.kind {
         _ if age_ms > MAX_AGE_MS => Assessment::Expired { age_ms },
--- a/crates/snapshot/tests/snapshot.rs
+++ b/crates/snapshot/tests/snapshot.rs
@@ -3,6 +3,7 @@
 use fawnhill::{Class, Condition, Effect, KeyGroup, Outcome, Plan, Request, ServerEntry, Settings};
 use marldeal_engine::{Answer, Engine, Input, Output};
 use marldeal_snapshot::moments::{MonotonicTime, WallTime};
+use marldeal_snapshot::server_list::{ListOrigin, ListedServer, ServerList};
 use marldeal_snapshot::{assess, Assessment, ReadError, Snapshot, SnapshotKind, MAX_AGE_MS, MAX_BYTES};
 use proptest::prelude::*;
 
@@ -201,6 +202,91 @@
     );
 }
 
+/// A list of servers with ids of `id_bytes` bytes, every third of which has been draining for 2 s.
+fn server_list(servers: usize, id_bytes: usize) -> ServerList {
+    let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 3000));
+    let server = |n: usize| ListedServer {
+        id: format!("{n:0id_bytes$}"),
+        addr,
+        zone: 1,
+        cell: 2,
+        weight: 0.5,
+        started: START,
+        draining_for_ms: n.is_multiple_of(3).then_some(2000.0),
+    };
+    let origin = ListOrigin { source: addr, version: 41, from_discovery: true };
+    ServerList { origin, age_ms: 1000.0, servers: (0..servers).map(server).collect() }
+}
+
+/// Guards against a successor that sends requests to servers which its predecessor was told to drain: the list arrives
+/// whole and with its times brought forward, whether or not the writer went on.
+#[test]
+fn server_list_is_read_with_its_times_brought_forward() {
+    let (mut old, now, _) = engine_with_used_quota();
+    for kind in [SnapshotKind::Running, SnapshotKind::Final] {
+        let written = snapshot_of(&mut old, now, kind);
+        let bytes = Snapshot { server_list: Some(server_list(4, 3)), ..written }.to_bytes(&settings());
+        let mut read = Snapshot::from_bytes(&bytes, &settings()).expect("intact snapshot");
+        let list = read.take_server_list(at(now + 500.0)).expect("a list");
+        assert_eq!((list.origin.version, list.age_ms, list.servers.len()), (41, 1500.0, 4));
+        let draining: Vec<_> = list.servers.iter().map(|server| server.draining_for_ms).collect();
+        assert_eq!(draining, [Some(2500.0), None, None, Some(2500.0)]);
+        let conditions: Vec<_> = list.servers.iter().map(|server| server.entry().condition).collect();
+        let (draining, serving) = (Condition::Draining, Condition::Serving);
+        assert_eq!(conditions, [draining, serving, serving, draining]);
+    }
+}
+
+/// A snapshot of yesterday says nothing about the servers of today.
+#[test]
+fn server_list_of_an_expired_snapshot_is_not_used() {
+    let (mut old, now, _) = engine_with_used_quota();
+    let written = snapshot_of(&mut old, now, SnapshotKind::Final);
+    let mut read = Snapshot { server_list: Some(server_list(4, 3)), ..written };
+    assert_eq!(read.clone().take_server_list(at(now + 24.0 * 3_600_000.0)), None);
+    assert!(read.take_server_list(at(now + MAX_AGE_MS)).is_some());
+}
+
+/// Releases before the server list end before it, and read snapshots that have it; one that is cut is rejected as a
+/// whole, wherever the cut is.
+#[test]
+fn server_list_is_optional_and_never_read_in_part() {
+    let (mut old, now, _) = engine_with_used_quota();
+    let without = snapshot_of(&mut old, now, SnapshotKind::Final);
+    let with = Snapshot { server_list: Some(server_list(4, 3)), ..without.clone() };
+    let (bytes, bytes_without) = (with.to_bytes(&settings()), without.to_bytes(&settings()));
+    let mut read_without = Snapshot::from_bytes(&bytes_without, &settings()).expect("intact snapshot");
+    assert_eq!(read_without.take_server_list(at(now)), None);
+    assert_eq!(Snapshot::from_bytes(&bytes, &settings()), Ok(with));
+    let header_bytes = 18;
+    assert!(bytes[header_bytes..].starts_with(&bytes_without[header_bytes..]), "the known fields come first");
+    // The earlier release decodes the body so, and then the time of writing.
+    let (body, rest) = postcard::take_from_bytes::<Snapshot>(&bytes[header_bytes..]).expect("decodes");
+    assert_eq!(body, Snapshot { written_at: None, ..without.clone() });
+    assert_eq!(postcard::from_bytes::<MonotonicTime>(rest), Ok(at(now)));
+    for cut in bytes_without.len()..bytes.len() {
+        assert_eq!(Snapshot::from_bytes(&bytes[..cut], &settings()), Err(ReadError::Truncated));
+    }
+    let mut invalid = server_list(4, 3);
+    invalid.servers[1].weight = f64::NAN;
+    let bytes = Snapshot { server_list: Some(invalid), ..without }.to_bytes(&settings());
+    assert!(matches!(Snapshot::from_bytes(&bytes, &settings()), Err(ReadError::Corrupt(_))));
+}
+
+/// The longest list that is kept, 10,000 servers with ids of 256 bytes, passes whole beside any number of customers.
+#[test]
+fn server_list_is_not_cut_down() {
+    let (mut old, now, _) = engine_with_used_quota();
+    let mut snapshot = snapshot_of(&mut old, now, SnapshotKind::Final);
+    let customer = snapshot.state.customers[0];
+    snapshot.state.customers = (0..100_000).map(|n| (n, customer.1)).collect();
+    snapshot.server_list = Some(server_list(10_000, 256));
+    let bytes = snapshot.to_bytes(&settings());
+    assert!(bytes.len() <= MAX_BYTES, "{}", bytes.len());
+    let mut read = Snapshot::from_bytes(&bytes, &settings()).expect("intact snapshot");
+    assert_eq!(read.take_server_list(at(now)).map(|list| list.servers.len()), Some(10_000));
+}
+
 #[test]
 fn invalid_bytes_are_rejected_with_the_reason() {
     let (mut old, now, _) = engine_with_used_quota();
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -11,6 +11,8 @@
 
 /// Interval between heartbeats. The protocol has one every 2 s; a shorter interval is valid and makes tests faster.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a call that waits for the end of a silence checks for it.
+const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A line of the discovery protocol: the list's version, whether the list is complete, and servers as (ID, address,
 /// state).
@@ -39,6 +41,14 @@
     streams: Mutex<Vec<TcpStream>>,
     /// Whether heartbeats are suspended.
     heartbeats_stopped: AtomicBool,
+    /// Whether nothing is sent. Calls are accepted, and answered once this has ended.
+    silent: AtomicBool,
+}
+
+impl Watches {
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::SeqCst)
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -77,12 +87,16 @@
             heads: Mutex::default(),
             streams: Mutex::default(),
             heartbeats_stopped: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         });
         let shared = watches.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let Ok(mut stream) = stream else { continue };
                 let Some(message) = message::read(&mut stream) else { continue };
+                while shared.is_silent() {
+                    std::thread::sleep(SILENCE_POLL_INTERVAL);
+                }
                 let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 // The lock is held while the list is written, so that the watch misses no change of the list.
                 let mut streams = lock(&shared.streams);
@@ -100,7 +114,7 @@
         let heartbeats = watches.clone();
         std::thread::spawn(move || loop {
             std::thread::sleep(HEARTBEAT_INTERVAL);
-            if !heartbeats.heartbeats_stopped.load(Ordering::SeqCst) {
+            if !heartbeats.heartbeats_stopped.load(Ordering::SeqCst) && !heartbeats.is_silent() {
                 lock(&heartbeats.streams).iter_mut().for_each(|s| write_chunk(s, "\n"));
             }
         });
@@ -131,6 +145,10 @@
     pub fn watches(&self) -> Vec<String> {
         lock(&self.watches.heads).clone()
     }
+    /// Begins or ends a silence: no heartbeats, and no answers to new calls.
+    pub fn set_silent(&self, silent: bool) {
+        self.watches.silent.store(silent, Ordering::SeqCst);
+    }
     /// Stops sending heartbeats.
     pub fn stop_heartbeats(&self) {
         self.watches.heartbeats_stopped.store(true, Ordering::SeqCst);
--- a/marldeal/src/driver.rs
+++ b/marldeal/src/driver.rs
@@ -6,6 +6,7 @@
 mod peer_messages;
 mod permission;
 mod proxied;
+mod server_list;
 mod stall_tracking;
 
 use std::cell::{Cell, RefCell};
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use fawnhill::{Condition, Effect, Outcome, Request, RequestId, ServerId};
+use fawnhill::{Effect, Outcome, Request, RequestId, ServerId};
 use hyper::header::HeaderValue;
 use marldeal_bodies::Budget;
 use marldeal_engine::counters::RequestCounters;
@@ -25,6 +26,7 @@
 use marldeal_lifecycle::{AlreadyEnding, Command, Lifecycle, Phase};
 use marldeal_outcomes::{AnswerCache, KeyedRequest, Lookup};
 use marldeal_permit::violation::ViolationCounts;
+use marldeal_snapshot::server_list::ListOrigin;
 use marldeal_snapshot::{Assessment, Snapshot, SnapshotKind};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch, Notify};
@@ -34,7 +36,7 @@
 use crate::payload::{Chunk, Payload, StreamedBody};
 use crate::reload::ReloadTrigger;
 use crate::settings::config::Config;
-use crate::settings::server_list::{self, DiscoverySource, ServerUpdate, MAX_SERVERS};
+use crate::settings::server_list::DiscoverySource;
 use crate::socket::SharedSocket;
 use clock::Clock;
 use handover_link::HandoverLinks;
@@ -140,6 +142,8 @@
     direct_requests: HashMap<RequestId, DirectRequest>,
     outstanding: HashMap<(RequestId, u32), OutstandingAttempt>,
     addresses: HashMap<ServerId, SocketAddr>,
+    /// When each server of the list that drains was told to.
+    draining_since: HashMap<ServerId, f64>,
     /// When the engine is to be called again, as last set for [`Driver::run_timers`].
     next_timer: Option<f64>,
 }
@@ -193,6 +197,10 @@
     /// whole list. Every watch is woken, whatever it is doing.
     pub list_refresh: watch::Sender<u64>,
     list_received: Cell<bool>,
+    /// Where the list of servers comes from; none if there is none.
+    list_origin: Cell<Option<ListOrigin>>,
+    /// When discovery last sent the list or a change to it, to this process or a predecessor.
+    list_changed_at: Cell<f64>,
     /// The sockets over which sources of the list are watched, by number of the source.
     watch_sockets: RefCell<BTreeMap<u32, SharedSocket>>,
     /// Everything that discovery had sent by then has been read, including what arrived while the process was
@@ -254,6 +262,7 @@
             direct_requests: HashMap::new(),
             outstanding: HashMap::new(),
             addresses: HashMap::new(),
+            draining_since: HashMap::new(),
             next_timer: None,
         };
         let life = match second {
@@ -266,6 +275,8 @@
             config,
             list_refresh: watch::Sender::new(0),
             list_received: Cell::new(false),
+            list_origin: Cell::new(None),
+            list_changed_at: Cell::new(f64::NEG_INFINITY),
             watch_sockets: RefCell::default(),
             list_current_at: Cell::new(f64::NEG_INFINITY),
             violations: Cell::default(),
@@ -286,12 +297,7 @@
             answer_cache: RefCell::new(None),
             timers_changed: Notify::new(),
         });
-        if let Some(mut known) = driver.config.known_servers.clone() {
-            known.set_full();
-            let (update, notes) = server_list::server_update(known, &driver.config.names);
-            notes.iter().for_each(|note| info!("{note}"));
-            driver.apply_server_list(update);
-        }
+        driver.apply_configured_servers();
         Ok(driver)
     }
 
@@ -396,19 +402,25 @@
     /// more.
     pub fn snapshot(&self, kind: SnapshotKind) -> Vec<u8> {
         let (written_at, wall_time) = (self.clock.monotonic_time(), self.clock.wall_time());
-        let snapshot = self.state.borrow_mut().engine.snapshot(self.now(), written_at, wall_time, kind);
+        let mut state = self.state.borrow_mut();
+        let mut snapshot = state.engine.snapshot(self.now(), written_at, wall_time, kind);
+        snapshot.server_list = self.export_server_list(&state);
         snapshot.to_bytes(&self.config.settings)
     }
 
     /// Restores the state that another process of this limiter has sent. Returns a description of the result for
     /// the log.
     pub fn restore_snapshot(self: &Rc<Self>, bytes: &[u8]) -> String {
-        let snapshot = match Snapshot::from_bytes(bytes, &self.config.settings) {
+        let mut snapshot = match Snapshot::from_bytes(bytes, &self.config.settings) {
             Ok(snapshot) => snapshot,
             Err(why) => return format!("{why}; starting without the predecessor's state"),
         };
-        let now = self.now();
-        let assessment = marldeal_snapshot::assess(snapshot, self.clock.monotonic_time());
+        let (now, monotonic_time) = (self.now(), self.clock.monotonic_time());
+        // Before the state, which holds what is known of the listed servers.
+        if let Some(list) = snapshot.take_server_list(monotonic_time) {
+            self.import_server_list(list);
+        }
+        let assessment = marldeal_snapshot::assess(snapshot, monotonic_time);
         let result = match &assessment {
             Assessment::SameLimiter { state, .. } => format!(
                 "goes on as the same limiter with {} servers, {} customers, {} accounts",
@@ -484,63 +496,6 @@
         self.reload_counts.set(reloads);
     }
 
-    /// Handles an update of the server list from discovery.
-    pub fn update_servers(self: &Rc<Self>, update: ServerUpdate) {
-        let first = !self.list_received.replace(true);
-        self.apply_server_list(update);
-        if first {
-            self.phase_changed.notify_waiters();
-        }
-    }
-
-    fn apply_server_list(self: &Rc<Self>, mut update: ServerUpdate) {
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        let received = update.entries.len();
-        let mut free_places = MAX_SERVERS - if update.full { 0 } else { state.addresses.len() };
-        update.entries.retain(|(entry, _)| {
-            let known = !update.full && state.addresses.contains_key(&entry.server);
-            let keep = known || entry.condition == Condition::Gone || free_places > 0;
-            free_places -= usize::from(keep && !known && entry.condition != Condition::Gone);
-            keep
-        });
-        if update.entries.len() < received {
-            let over = received - update.entries.len();
-            info!("discovery: {over} servers beyond {MAX_SERVERS} were passed over");
-        }
-        if update.full {
-            state.addresses.retain(|id, _| {
-                let keep = update.entries.iter().any(|(e, _)| e.server == *id);
-                if !keep {
-                    self.upstream.close_idle(id);
-                }
-                keep
-            });
-        }
-        for (entry, addr) in &update.entries {
-            let (id, removed) = (&entry.server, entry.condition == Condition::Gone);
-            let was_accepting = state.engine.accepts_requests(id);
-            let previous =
-                if removed { state.addresses.remove(id) } else { state.addresses.insert(id.clone(), *addr) };
-            let changed = match previous {
-                Some(previous) => {
-                    removed || was_accepting != (entry.condition == Condition::Serving) || previous != *addr
-                }
-                None => !removed,
-            };
-            if changed {
-                let state = entry.condition;
-                info!(event = "server", server = %id, %addr, ?state, "server {id} at {addr}: {state:?}");
-            }
-            if previous.is_some_and(|previous| entry.condition != Condition::Serving || previous != *addr) {
-                self.upstream.close_idle(id);
-            }
-        }
-        let entries = update.entries.into_iter().map(|(e, _)| e).collect();
-        self.handle_input(state, Input::Servers { whole: update.full, entries });
-        self.execute_outputs(state, None);
-    }
-
     /// Submits a client's request. Returns its id and the receiver of its final answer, or `None` if a request
     /// with the same `X-Correlation-Id` is open.
     pub fn submit(
--- a/marldeal/src/upstream/discovery.rs
+++ b/marldeal/src/upstream/discovery.rs
@@ -191,11 +191,12 @@
         let WatchMessage::List(bytes) = message else { continue };
         // The changes of an invalid list are lost, so the watch is reopened from the last valid version.
         let list = serde_json::from_slice::<ServerList>(&bytes).map_err(|e| format!("bad line: {e}"))?;
-        source.version = Some(list.version);
+        let version = list.version;
+        source.version = Some(version);
         driver.sources.last_received.set(source.number);
         let (update, notes) = server_update(list, &driver.config.names);
         notes.iter().for_each(|note| info!("{note}"));
-        driver.update_servers(update);
+        driver.update_servers(update, source.addr, version);
     }
     Ok(())
 }
--- a/marldeal/tests/stubs/mod.rs
+++ b/marldeal/tests/stubs/mod.rs
@@ -1,6 +1,8 @@
 //! Starts the program under test as a process, with stub servers and a stub discovery agent around it.
 #![allow(dead_code, unused_imports)]
 
+pub mod upgrade_environment;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
--- a/src/limiter_state.rs
+++ b/src/limiter_state.rs
@@ -170,6 +170,11 @@
 }
 
 impl Limiter {
+    /// The listed servers, in the order of their ids.
+    pub fn server_entries(&self) -> impl Iterator<Item = &ServerEntry> {
+        self.servers.iter().map(|server| &server.entry)
+    }
+
     /// The state at `now`. Of customers beyond a bound only the deficits are exported.
     pub fn export_state(&self, now: Millis) -> LimiterState {
         let ago = |at: Millis| now - at;
