--- a/crates/snapshot/src/lib.rs
+++ b/crates/snapshot/src/lib.rs
@@ -151,8 +151,9 @@
         }
     }
 
-    /// Drops some of the records. Accounts are dropped last, as no other limiter has their contents. The server list stays,
-    /// since without it the reader would send requests to servers that drain.
+    /// Drops some of the records. Accounts are dropped late, as no other limiter has their contents, then the deficits of
+    /// customers without a record. The server list goes last, since without it the reader would send requests to servers
+    /// that drain. Leases and open grants, whose numbers the decision module bounds, stay.
     fn drop_records(&mut self) {
         let state = &mut self.state;
         state.customers.truncate(state.customers.len() / 2);
@@ -162,6 +163,13 @@
         }
         state.accounts.truncate(state.accounts.len() / 2);
         state.servers.truncate(state.servers.len() / 2);
+        if !state.accounts.is_empty() || !state.servers.is_empty() {
+            return;
+        }
+        if state.deficits.iter().all(|(_, cells)| cells.is_empty()) {
+            self.server_list = None;
+        }
+        state.deficits.iter_mut().for_each(|(_, cells)| cells.truncate(cells.len() / 2));
     }
 
     /// Decodes a snapshot, as a whole or not at all.
--- a/crates/snapshot/tests/snapshot.rs
+++ b/crates/snapshot/tests/snapshot.rs
@@ -287,6 +287,25 @@
     assert_eq!(read.take_server_list(at(now)).map(|list| list.servers.len()), Some(10_000));
 }
 
+/// Guards against a writer that never ends: what remains once all other records are dropped is too large by itself.
+#[test]
+fn snapshots_of_which_any_part_is_too_large_are_written_in_the_end() {
+    const TOO_MANY_CELLS: u32 = 1 << 19;
+    const MAX_LEASES: u64 = 1 << 16;
+    let (mut old, now, _) = engine_with_used_quota();
+    let written = snapshot_of(&mut old, now, SnapshotKind::Final);
+    let mut with_deficits = written.clone();
+    with_deficits.state.deficits[1].1 = (0..TOO_MANY_CELLS).map(|n| (n, 1000.0)).collect();
+    let mut with_leases = Snapshot { server_list: Some(server_list(10_000, 256)), ..written };
+    with_leases.state.leased = (0..MAX_LEASES).map(|n| (1.0, n << 32, 1.0)).collect();
+    for snapshot in [with_deficits, with_leases] {
+        let bytes = snapshot.to_bytes(&settings());
+        assert!(bytes.len() <= MAX_BYTES, "{}", bytes.len());
+        let read = Snapshot::from_bytes(&bytes, &settings()).expect("intact snapshot");
+        assert_eq!(read.state.leased, snapshot.state.leased);
+    }
+}
+
 #[test]
 fn invalid_bytes_are_rejected_with_the_reason() {
     let (mut old, now, _) = engine_with_used_quota();
