An upgrade after a reload follows the file, not the environment of the first start

Cause: at a start the environment has precedence over the file, after a reload the file has. The new process knew nothing of its predecessor's reload.

The new process then reads the file as after SIGHUP, and what it has from the old place does not count.

--- a/crates/snapshot/src/server_list.rs
+++ b/crates/snapshot/src/server_list.rs
@@ -73,6 +73,8 @@
 pub struct ServerList {
     /// Where the list comes from.
     pub origin: ListOrigin,
+    /// The writer has moved to another discovery service since its start, when its configuration was reloaded.
+    pub source_moved: bool,
     /// Time since discovery last sent the list or a change to it, in milliseconds.
     pub age_ms: Millis,
     /// The servers. Those that are gone are not among them.
--- a/crates/snapshot/tests/snapshot.rs
+++ b/crates/snapshot/tests/snapshot.rs
@@ -215,7 +215,7 @@
         draining_for_ms: n.is_multiple_of(3).then_some(2000.0),
     };
     let origin = ListOrigin { source: addr, version: 41, from_discovery: true };
-    ServerList { origin, age_ms: 1000.0, servers: (0..servers).map(server).collect() }
+    ServerList { origin, source_moved: true, age_ms: 1000.0, servers: (0..servers).map(server).collect() }
 }
 
 /// Guards against a successor that sends requests to servers which its predecessor was told to drain: the list arrives
--- a/marldeal/src/driver/server_list.rs
+++ b/marldeal/src/driver/server_list.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use super::{Driver, State};
+use crate::settings::config::Config;
 use crate::settings::server_list::{server_update, ServerUpdate, MAX_SERVERS};
 
 impl Driver {
@@ -114,18 +115,47 @@
         };
         Some(ServerList {
             origin: self.list_origin.get()?,
+            source_moved: self.sources.has_moved(),
             age_ms: now - self.list_changed_at.get(),
             servers: state.engine.server_entries().filter_map(server).collect(),
         })
     }
 
+    /// Follows a predecessor that has moved to another discovery service. After a reload the configuration file has
+    /// precedence over the environment, which is still that of the predecessor's start. Returns whether this process moves.
+    fn follow_predecessor(&self, list: &ServerList) -> bool {
+        if !list.source_moved {
+            return false;
+        }
+        let moves = match Config::reload() {
+            Ok(file) => self.sources.switch_to(file.discovery),
+            Err(why) => {
+                info!("the predecessor has moved to another discovery service; reading the configuration: {why}");
+                false
+            }
+        };
+        if moves {
+            info!(
+                event = "discovery_moved",
+                "discovery is at {}, as reloaded by the predecessor",
+                self.sources.addr.get()
+            );
+        }
+        moves
+    }
+
     /// Takes over the list of a predecessor if it is newer than the own one: what that process was told binds this one,
     /// which discovery may not have told anything yet. Discovery's next word goes on from there.
     pub(super) fn import_server_list(self: &Rc<Self>, list: ServerList) {
-        let own = self.list_origin.get();
+        let moves = self.follow_predecessor(&list);
+        // A list from a place that the predecessor has left is older than any that it has.
+        let own = if moves { None } else { self.list_origin.get() };
         if !list.origin.supersedes(own.as_ref()) {
             return;
         }
+        if list.origin.from_discovery && list.origin.source == self.sources.addr.get() {
+            self.sources.forget_earlier();
+        }
         // What another source has changed since its own list does not fit this one.
         if own.is_some_and(|own| own.source != list.origin.source) {
             self.list_refresh.send_modify(|requests| *requests += 1);
--- a/marldeal/src/settings/server_list.rs
+++ b/marldeal/src/settings/server_list.rs
@@ -133,4 +133,14 @@
         }
         differs
     }
+
+    /// Whether the address has changed since the start.
+    pub fn has_moved(&self) -> bool {
+        self.current.get() > 0
+    }
+
+    /// Ends the watches of earlier sources, as if the current one had sent a list.
+    pub fn forget_earlier(&self) {
+        self.last_received.set(self.current.get());
+    }
 }
--- a/marldeal/tests/stubs/upgrade_environment.rs
+++ b/marldeal/tests/stubs/upgrade_environment.rs
@@ -48,13 +48,21 @@
 
     /// Starts another process on the same listening socket.
     pub fn start(&self) -> Process {
-        self.start_with_wall_clock(0)
+        self.start_with(Vec::new())
     }
 
     /// The same, with a wall clock that is ahead by this many milliseconds. The monotonic clock is exact.
     pub fn start_with_wall_clock(&self, ahead_ms: i64) -> Process {
         let calls = FailingCalls { wall_clock_ms: ahead_ms, ..FailingCalls::default() };
-        let variables = if ahead_ms == 0 { Vec::new() } else { shim().environment(&calls) };
+        self.start_with(if ahead_ms == 0 { Vec::new() } else { shim().environment(&calls) })
+    }
+
+    /// The same, with an address of discovery in the environment, where it has precedence over the file.
+    pub fn start_with_discovery(&self, addr: SocketAddr) -> Process {
+        self.start_with(vec![("ROUTER_DISCOVERY".to_string(), addr.to_string())])
+    }
+
+    fn start_with(&self, variables: Vec<(String, String)>) -> Process {
         let fd = OwnedFd::from(self.listener.try_clone().expect("a descriptor"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_marldeal"));
         for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
--- a/marldeal/tests/upgrade_in_silence.rs
+++ b/marldeal/tests/upgrade_in_silence.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use marldeal_standin::discovery::update_line;
+use marldeal_standin::discovery::{update_line, Discovery};
 use stubs::upgrade_environment::{wait_until_serving, Environment};
 use stubs::{get, write_ok, Process, Stub};
 
@@ -128,3 +128,36 @@
     new.wait_log("the predecessor has gone");
     assert_eq!(requests_by_server(&environment, &servers), [0, REQUESTS]);
 }
+
+/// Guards against a new process that goes back to the discovery service of the environment, which is still that of the
+/// old process's start. That one was moved by SIGHUP and was told of a drain at the new place. The old place still
+/// speaks, or is silent.
+#[test]
+fn new_process_follows_a_reload_of_the_old_one() {
+    for old_place_silent in [false, true] {
+        let servers = [ok_server(), ok_server()];
+        let addrs = servers.each_ref().map(|server| server.addr);
+        let (first, second) = (("s-1", addrs[0], "active"), ("s-2", addrs[1], "active"));
+        let environment = Environment::with_addresses(&[first, second]);
+        let old_place = environment.discovery.addr;
+        let draining = [("s-1", addrs[0], "leaving"), second];
+        let new_place = Discovery::shared(update_line(1, true, &draining));
+        let old = environment.start_with_discovery(old_place);
+        wait_until_serving(&old);
+        let new_addr = new_place.addr.to_string();
+        let environment = environment.alter(|config| config.replace(&old_place.to_string(), &new_addr));
+        old.signal("HUP");
+        old.wait_log(&format!("server s-1 at {}: Draining", addrs[0]));
+        environment.discovery.set_silent(old_place_silent);
+        new_place.set_silent(true);
+        let new = environment.start_with_discovery(old_place);
+        wait_until_serving(&new);
+        old.signal("TERM");
+        new.wait_log("the predecessor has gone");
+        assert_eq!(requests_by_server(&environment, &servers), [0, REQUESTS], "{old_place_silent}");
+        new_place.announce(&update_line(2, true, &[first, ("s-2", addrs[1], "leaving")]));
+        new_place.set_silent(false);
+        new.wait_log(&format!("server s-2 at {}: Draining", addrs[1]));
+        assert_eq!(requests_by_server(&environment, &servers), [REQUESTS, 0], "{old_place_silent}");
+    }
+}
