Requests that were read behind another one are answered before a connection closes

Cause: a process that keeps no connections closed each after its present answer. What follows lies in the HTTP library's buffer, and only the kernel was asked. close_gracefully did the same to connections with an open request.

Fix: an answer closes its connection only if nothing follows the request, by the library's buffer (it reads on exactly if that is empty) and by the kernel. The answer to the last one closes. Standby, SIGTERM after the drain, a hand-over and refused late connections pass the same place.

--- a/marldeal/src/front/answer.rs
+++ b/marldeal/src/front/answer.rs
@@ -72,11 +72,9 @@
                 counters.record_answered_locally(class, RequestOutcome::Declined)
             });
         }
-        let mut answer = refusal(
+        return refusal(
             f64::from(driver.config.settings.may_advise) * LATE_REQUEST_TIMEOUT.as_secs_f64() * 1000.0,
         );
-        answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        return answer;
     }
     let mut delay_ms = client.queue_wait.take().as_secs_f64() * 1000.0;
     if let Some(until) = client.delayed_until.take() {
--- a/marldeal/src/front/connection.rs
+++ b/marldeal/src/front/connection.rs
@@ -129,6 +129,16 @@
         .await
     }
 
+    /// Whether bytes follow the open request, in the HTTP server's buffer or in the socket. They may be further requests,
+    /// which have been taken and are owed an answer, so that this request's answer must not close the connection.
+    async fn may_have_further_requests(&self, socket: &SharedSocket) -> bool {
+        if !self.read_drained.get() {
+            // With an empty buffer the HTTP server tries to read before it polls this again.
+            tokio::task::yield_now().await;
+        }
+        !self.read_drained.get() || socket.unread() == Unread::Bytes
+    }
+
     /// Whether the connection may be closed now.
     pub(super) fn may_close(&self, socket: &SharedSocket, why: CloseReason) -> bool {
         let unread = socket.unread() == Unread::Bytes;
@@ -220,7 +230,10 @@
                     .delayed_until
                     .set(Some(Instant::now() + FLOOD_DELAY_PER_CONNECTION.saturating_mul(open)));
             }
-            if !driver.with_lifecycle(Lifecycle::keeps_alive) && !clients.successor.is_accepting() {
+            let keeps_alive =
+                driver.with_lifecycle(Lifecycle::keeps_alive) || clients.successor.is_accepting();
+            let closes = client.late.get() || !keeps_alive;
+            if closes && !client.may_have_further_requests(&socket).await {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             client.request_open.set(false);
@@ -266,8 +279,13 @@
                 client.evicting.set(false);
             }
             () = client.close_gracefully.notified(), if !closing => {
+                // The answer to an open request closes the connection, unless further requests follow. If its head has
+                // been written already, the connection is closed once it is idle.
+                if client.request_open.get() || client.answering.get() {
+                    continue;
+                }
                 // Unread bytes may be a request: they are read before the connection is closed.
-                let has_unread_request = !client.request_open.get() && !client.answering.get() && !client.may_close(&socket, CloseReason::Idle);
+                let has_unread_request = !client.may_close(&socket, CloseReason::Idle);
                 if has_unread_request && deferrals < MAX_CLOSE_DEFERRALS {
                     deferrals += 1;
                     tokio::task::yield_now().await;
